Whole path, thin: callers, daemons, dispatchers, endpoints and the log

Cause: nothing existed yet. Change: the library with the log fold, dispatcher authority, endpoint leases, queues, nghttp2 streams between daemons, libcurl towards endpoints and the log, libmicrohttpd towards callers and operators; thin programs; stand-ins.

--- /dev/null
+++ b/programs/standin-endpoint.cpp
@@ -0,0 +1,37 @@
+#include "standin/endpoint.hpp"
+
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+int
+main(int aCount, char** aArguments)
+{
+  cxxopts::Options options("standin-endpoint", "Stands in for an endpoint.");
+  options.add_options()(
+    "name", "name in its answers", cxxopts::value<std::string>())(
+    "listen", "number:port", cxxopts::value<std::string>())(
+    "service-ms",
+    "time for each request",
+    cxxopts::value<int>()->default_value("0"))("unchecked",
+                                               "does not check grants");
+  try {
+    const auto given = options.parse(aCount, aArguments);
+    standin::EndpointBehavior behavior;
+    behavior.m_name = given["name"].as<std::string>();
+    behavior.m_serviceMs = given["service-ms"].as<int>();
+    behavior.m_checksGrants = given.count("unchecked") == 0;
+    standin::Endpoint endpoint(behavior);
+    const auto status = endpoint.Start(given["listen"].as<std::string>());
+    if (!status.ok()) {
+      std::cerr << status.message() << "\n";
+      return 1;
+    }
+    while (true) {
+      std::this_thread::sleep_for(std::chrono::hours(1));
+    }
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/sapphirehook/core/byte_pipe.cpp
@@ -0,0 +1,161 @@
+#include "sapphirehook/core/byte_pipe.hpp"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace sapphirehook {
+
+void
+BytePipe::Call(const std::function<void()>& aFunction)
+{
+  if (aFunction) {
+    aFunction();
+  }
+}
+
+std::size_t
+BytePipe::Append(std::string_view aBytes)
+{
+  if (m_discarding) {
+    return aBytes.size();
+  }
+  if (m_end != PipeEnd::Open) {
+    return 0;
+  }
+  const std::size_t unread = m_buffer.size() - m_position;
+  const std::size_t room = kPipeCapacityBytes - unread;
+  const std::size_t taken = std::min(room, aBytes.size());
+  m_buffer.append(aBytes.substr(0, taken));
+  return taken;
+}
+
+BytePipe::ReadResult
+BytePipe::Take(char* aBuffer, std::size_t aSize)
+{
+  const std::size_t unread = m_buffer.size() - m_position;
+  const std::size_t bytes = std::min(unread, aSize);
+  if (bytes == 0) {
+    return { 0, m_end };
+  }
+  std::memcpy(aBuffer, m_buffer.data() + m_position, bytes);
+  m_position += bytes;
+  Trim();
+  return { bytes, PipeEnd::Open };
+}
+
+void
+BytePipe::Trim()
+{
+  if (m_rewindable && m_position > kReplayBytes) {
+    m_rewindable = false;
+  }
+  if (m_rewindable) {
+    return;
+  }
+  const bool worthMoving = m_position * 2 >= m_buffer.size();
+  if (worthMoving) {
+    m_buffer.erase(0, m_position);
+    m_position = 0;
+  }
+}
+
+bool
+BytePipe::WriteWhole(std::string_view aBytes, std::function<void()> aResume)
+{
+  std::function<void()> wake;
+  {
+    const std::lock_guard lock(m_mutex);
+    const std::size_t unread = m_buffer.size() - m_position;
+    const bool fits =
+      m_discarding || unread + aBytes.size() <= kPipeCapacityBytes;
+    if (!fits) {
+      m_writerResume = std::move(aResume);
+      return false;
+    }
+    Append(aBytes);
+    wake = std::exchange(m_readerResume, nullptr);
+  }
+  Call(wake);
+  return true;
+}
+
+void
+BytePipe::Close(PipeEnd aEnd)
+{
+  std::function<void()> wakeReader;
+  std::function<void()> wakeWriter;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_end != PipeEnd::Open) {
+      return;
+    }
+    m_end = aEnd;
+    wakeReader = std::exchange(m_readerResume, nullptr);
+    wakeWriter = std::exchange(m_writerResume, nullptr);
+  }
+  Call(wakeReader);
+  Call(wakeWriter);
+}
+
+void
+BytePipe::Discard()
+{
+  std::function<void()> wake;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_discarding = true;
+    m_rewindable = false;
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_position = 0;
+    wake = std::exchange(m_writerResume, nullptr);
+  }
+  Call(wake);
+}
+
+bool
+BytePipe::Rewind()
+{
+  const std::lock_guard lock(m_mutex);
+  if (!m_rewindable) {
+    return false;
+  }
+  m_position = 0;
+  return true;
+}
+
+void
+BytePipe::Commit()
+{
+  const std::lock_guard lock(m_mutex);
+  m_rewindable = false;
+  Trim();
+}
+
+std::size_t
+BytePipe::UnreadThen(std::function<void()> aResume)
+{
+  const std::lock_guard lock(m_mutex);
+  const std::size_t unread = m_buffer.size() - m_position;
+  if (unread > 0) {
+    m_writerResume = std::move(aResume);
+  }
+  return unread;
+}
+
+void
+BytePipe::WakeBoth()
+{
+  std::function<void()> wakeReader;
+  std::function<void()> wakeWriter;
+  {
+    const std::lock_guard lock(m_mutex);
+    wakeReader = std::exchange(m_readerResume, nullptr);
+    wakeWriter = std::exchange(m_writerResume, nullptr);
+  }
+  Call(wakeReader);
+  Call(wakeWriter);
+}
+
+} // namespace sapphirehook
--- /dev/null
+++ b/src/sapphirehook/core/http_client.hpp
@@ -0,0 +1,50 @@
+#ifndef SAPPHIREHOOK_CORE_HTTP_CLIENT_HPP
+#define SAPPHIREHOOK_CORE_HTTP_CLIENT_HPP
+
+#include "sapphirehook/core/time.hpp"
+
+#include <absl/status/statusor.h>
+#include <atomic>
+#include <string>
+
+using CURL = void;
+
+namespace sapphirehook {
+
+/** The answer to a blocking HTTP call. */
+struct HttpAnswer
+{
+  long m_status = 0;
+  std::string m_body;
+};
+
+/** Blocking HTTP calls over one kept connection. Used by one thread. */
+class HttpClient
+{
+public:
+  /** aStop ends a call under way when it becomes true; may be null. */
+  explicit HttpClient(const std::atomic<bool>* aStop = nullptr);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  HttpClient(HttpClient&&) = delete;
+  HttpClient& operator=(HttpClient&&) = delete;
+
+  /** Does one call. Returns Unavailable when there was no whole answer in
+      time; the call may have taken effect all the same. */
+  [[nodiscard]] absl::StatusOr<HttpAnswer> Call(const std::string& aMethod,
+                                                const std::string& aUrl,
+                                                const std::string& aBody,
+                                                Millis aTimeout);
+
+private:
+  CURL* m_curl;
+};
+
+/** Readies the HTTP library; called once at the start of each program. */
+void
+InitHttp();
+
+} // namespace sapphirehook
+
+#endif
--- /dev/null
+++ b/src/sapphirehook/ownership/endpoint_manager.cpp
@@ -0,0 +1,459 @@
+#include "sapphirehook/ownership/endpoint_manager.hpp"
+
+#include <algorithm>
+
+namespace sapphirehook {
+
+namespace {
+
+Millis
+LongestDeadline(const ClusterState& aState, const std::string& aService)
+{
+  const auto service = aState.m_services.find(aService);
+  if (service == aState.m_services.end()) {
+    return Millis{ 0 };
+  }
+  std::uint32_t longest = service->second.m_config.m_deadlineMs;
+  for (const auto& rule : service->second.m_config.m_requestRules) {
+    longest = std::max(longest, rule.m_deadlineMs);
+  }
+  return Millis(longest);
+}
+
+} // namespace
+
+EndpointManager::EndpointManager(NodeConfig aConfig,
+                                 std::shared_ptr<AppendQueue> aAppends)
+  : m_config(std::move(aConfig))
+  , m_appends(std::move(aAppends))
+{
+}
+
+void
+EndpointManager::OnAnswer(TimePoint aNow,
+                          const std::string& aEndpoint,
+                          const LeaseCall& aCall,
+                          const LeaseAnswer& aAnswer)
+{
+  const auto found = m_led.find(aEndpoint);
+  if (found == m_led.end() || found->second.m_term != aCall.m_token.m_term) {
+    return;
+  }
+  auto& led = found->second;
+  led.m_lease.OnAnswer(aNow, aCall, aAnswer);
+  if (led.m_lease.HoldsNewest()) {
+    led.m_accepted = led.m_wanted;
+  }
+  if (!aAnswer.m_accepted || led.m_foreignClear) {
+    return;
+  }
+  const auto& own = m_running[aEndpoint];
+  led.m_foreignClear = std::all_of(
+    aAnswer.m_running.begin(),
+    aAnswer.m_running.end(),
+    [&](std::uint64_t aPartition) {
+      return std::any_of(own.begin(), own.end(), [&](const auto& aEntry) {
+        return aEntry.second.m_partition == aPartition;
+      });
+    });
+  led.m_dirty = true;
+}
+
+void
+EndpointManager::OnFailure(TimePoint aNow,
+                           const std::string& aEndpoint,
+                           const LeaseCall& aCall)
+{
+  const auto found = m_led.find(aEndpoint);
+  if (found != m_led.end() && found->second.m_term == aCall.m_token.m_term) {
+    found->second.m_lease.OnFailure(aNow, aCall);
+  }
+}
+
+void
+EndpointManager::OnStarted(const std::string& aEndpoint,
+                           std::uint64_t aRequest,
+                           RunningRequest aRunning)
+{
+  m_running[aEndpoint][aRequest] = std::move(aRunning);
+}
+
+void
+EndpointManager::OnEnded(const std::string& aEndpoint,
+                         std::uint64_t aRequest,
+                         bool aAnswered)
+{
+  const auto running = m_running.find(aEndpoint);
+  if (running == m_running.end()) {
+    return;
+  }
+  const auto request = running->second.find(aRequest);
+  if (request == running->second.end()) {
+    return;
+  }
+  const auto deadline = request->second.m_deadline;
+  running->second.erase(request);
+  if (running->second.empty()) {
+    m_running.erase(running);
+  }
+  const auto found = m_led.find(aEndpoint);
+  if (found == m_led.end()) {
+    return;
+  }
+  auto& led = found->second;
+  led.m_dirty = led.m_dirty || led.m_keeping;
+  if (!aAnswered) {
+    led.m_foreignClear = false;
+    led.m_foreignUntil = std::max(led.m_foreignUntil, deadline);
+  }
+}
+
+EndpointManager::Led
+EndpointManager::MakeLed(TimePoint aNow,
+                         const EndpointState& aEndpoint,
+                         const ClusterState& aState,
+                         const Group& aGroup) const
+{
+  const auto& timing = m_config.m_timing;
+  const LeaseConfig lease{ timing.m_endpointLease,
+                           timing.m_driftPpm,
+                           timing.m_renewEvery,
+                           timing.m_endpointSuspectAfter };
+  const bool first = aGroup.m_formerLeaseMs == 0;
+  const auto former =
+    WithDrift(Millis(aGroup.m_formerLeaseMs), timing.m_driftPpm);
+  Led led{ aGroup.m_term,
+           EndpointLease(aGroup.m_term, lease, aNow + former),
+           aEndpoint.m_config.m_checksGrants,
+           aNow,
+           first,
+           0,
+           0,
+           {},
+           {},
+           {},
+           true,
+           false };
+  if (!first) {
+    led.m_foreignUntil =
+      aNow + LongestDeadline(aState, aEndpoint.m_config.m_service);
+  }
+  return led;
+}
+
+void
+EndpointManager::FindLed(TimePoint aNow,
+                         const ClusterState& aState,
+                         const GroupManager& aGroups)
+{
+  std::vector<std::pair<GroupId, Term>> leading;
+  for (const auto& id : aGroups.Led()) {
+    if (aGroups.AuthorityUntil(id) > aNow) {
+      leading.emplace_back(id, aState.m_groups.at(id).m_term);
+    }
+  }
+  if (m_foundAt == aState.m_nextOffset && m_foundFor == leading) {
+    return;
+  }
+  m_foundAt = aState.m_nextOffset;
+  m_foundFor = leading;
+  const std::map<GroupId, Term> terms(leading.begin(), leading.end());
+  std::erase_if(m_led, [&](const auto& aEntry) {
+    return !aState.m_endpoints.contains(aEntry.first);
+  });
+  for (const auto& [name, endpoint] : aState.m_endpoints) {
+    const auto id = GroupOf(aState, name, endpoint.m_config);
+    const auto term = terms.find(id);
+    if (term == terms.end()) {
+      continue;
+    }
+    const auto known = m_led.find(name);
+    if (known == m_led.end() || known->second.m_term != term->second) {
+      m_led.insert_or_assign(
+        name, MakeLed(aNow, endpoint, aState, aState.m_groups.at(id)));
+    }
+  }
+}
+
+std::vector<std::uint64_t>
+EndpointManager::Kept(const ClusterState& aState,
+                      const Directory& aDirectory,
+                      const std::string& aName,
+                      const EndpointState& aEndpoint,
+                      const Led& aLed) const
+{
+  std::vector<std::uint64_t> kept;
+  const auto& service = aEndpoint.m_config.m_service;
+  const auto running = m_running.find(aName);
+  if (running != m_running.end()) {
+    for (const auto& [id, request] : running->second) {
+      const auto owner = aDirectory.OwnerOf(aState, service, request.m_key);
+      if (owner.m_endpoint == nullptr || *owner.m_endpoint != aName) {
+        kept.push_back(request.m_partition);
+      }
+    }
+  }
+  if (!aLed.m_foreignClear) {
+    const auto held = aDirectory.HeldBy(aState, aName);
+    for (const auto partition : aLed.m_lease.LastAnswer().m_running) {
+      if (!std::binary_search(held.begin(), held.end(), partition)) {
+        kept.push_back(partition);
+      }
+    }
+  }
+  std::sort(kept.begin(), kept.end());
+  kept.erase(std::unique(kept.begin(), kept.end()), kept.end());
+  return kept;
+}
+
+void
+EndpointManager::RefreshGrant(const ClusterState& aState,
+                              const Directory& aDirectory,
+                              const std::string& aName,
+                              const EndpointState& aEndpoint,
+                              Led& aLed)
+{
+  if (aLed.m_computedAt == aState.m_nextOffset && !aLed.m_dirty) {
+    return;
+  }
+  aLed.m_computedAt = aState.m_nextOffset;
+  aLed.m_dirty = false;
+  const auto& service = aEndpoint.m_config.m_service;
+  auto wanted = aDirectory.HeldBy(aState, aName);
+  const auto keptNow = Kept(aState, aDirectory, aName, aEndpoint, aLed);
+  aLed.m_keeping = !keptNow.empty();
+  wanted.insert(wanted.end(), keptNow.begin(), keptNow.end());
+  std::sort(wanted.begin(), wanted.end());
+  wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
+  std::vector<std::string> keys;
+  const auto found = aState.m_services.find(service);
+  if (found != aState.m_services.end() && !found->second.m_layouts.empty()) {
+    for (const auto& [key, owner] : found->second.m_layouts.back().m_pins) {
+      if (owner == aName &&
+          aDirectory.OwnerOf(aState, service, key).m_settled) {
+        keys.push_back(key);
+      }
+    }
+  }
+  aLed.m_layout = aDirectory.NewestLayout(service);
+  if (wanted != aLed.m_wanted || keys != aLed.m_keys) {
+    aLed.m_wanted = std::move(wanted);
+    aLed.m_keys = std::move(keys);
+    aLed.m_lease.ChangeGrant();
+  }
+}
+
+TimePoint
+EndpointManager::HoldsNothingBy(const std::string& aName, const Led& aLed) const
+{
+  if (aLed.m_checksGrants) {
+    return aLed.m_lease.EndsBy();
+  }
+  TimePoint latest = aLed.m_foreignUntil;
+  const auto running = m_running.find(aName);
+  if (running != m_running.end()) {
+    for (const auto& [id, request] : running->second) {
+      latest = std::max(latest, request.m_deadline);
+    }
+  }
+  return latest;
+}
+
+void
+EndpointManager::KeepUp(TimePoint aNow,
+                        const GroupId& aGroup,
+                        const std::string& aName,
+                        const EndpointState& aEndpoint,
+                        Led& aLed,
+                        Actions& aActions)
+{
+  const auto down = "down " + aName;
+  const bool suspect = aLed.m_lease.IsSuspect(aNow);
+  const bool givingUp = suspect || m_appends->IsUnderWay(down);
+  aLed.m_lease.SetProbeOnly(givingUp);
+  if (suspect && aNow >= HoldsNothingBy(aName, aLed)) {
+    const bool appended = m_appends->AppendOnce(
+      down, EndpointsDownRecord{ aGroup, aLed.m_term, { aName } }, aActions);
+    if (appended) {
+      aActions.emplace_back(
+        EventAction{ "endpoint-lost", ToString(aGroup), aName, "" });
+    }
+    return;
+  }
+  if (givingUp || !aLed.m_lease.HasAnswered()) {
+    return;
+  }
+  const bool draining = aLed.m_lease.LastAnswer().m_draining;
+  if (draining && !aEndpoint.m_draining) {
+    m_appends->AppendOnce(
+      "draining " + aName,
+      EndpointsDrainingRecord{ aGroup, aLed.m_term, { aName } },
+      aActions);
+  } else if (!draining && aEndpoint.m_draining) {
+    m_appends->AppendOnce("up " + aName,
+                          EndpointsUpRecord{ aGroup, aLed.m_term, { aName } },
+                          aActions);
+  }
+}
+
+void
+EndpointManager::KeepDown(TimePoint aNow,
+                          const GroupId& aGroup,
+                          const std::string& aName,
+                          const EndpointState& aEndpoint,
+                          Led& aLed,
+                          Actions& aActions)
+{
+  aLed.m_lease.SetProbeOnly(true);
+  aLed.m_accepted.clear();
+  const auto since = aLed.m_lease.AnsweringSince();
+  const bool steady =
+    since != TimePoint{} && aNow - since >= m_config.m_timing.m_endpointUpAfter;
+  const bool willing =
+    !aLed.m_lease.LastAnswer().m_draining && !aEndpoint.m_leaving;
+  if (steady && willing) {
+    m_appends->AppendOnce("up " + aName,
+                          EndpointsUpRecord{ aGroup, aLed.m_term, { aName } },
+                          aActions);
+  }
+}
+
+void
+EndpointManager::CollectRelease(TimePoint aNow,
+                                const ClusterState& aState,
+                                const Directory& aDirectory,
+                                const std::string& aName,
+                                const EndpointState& aEndpoint,
+                                const Led& aLed,
+                                std::vector<LayoutAck>& aAcks) const
+{
+  const bool revoked = aLed.m_checksGrants ? aLed.m_lease.HoldsNewest()
+                                           : aNow >= aLed.m_foreignUntil;
+  const bool current =
+    aLed.m_layout == aDirectory.NewestLayout(aEndpoint.m_config.m_service);
+  if (!revoked || !current) {
+    return;
+  }
+  LayoutAck ack{ aName,
+                 aLed.m_layout,
+                 Kept(aState, aDirectory, aName, aEndpoint, aLed) };
+  const bool news =
+    ack.m_layout > aEndpoint.m_ack || ack.m_kept != aEndpoint.m_kept;
+  if (news) {
+    aAcks.push_back(std::move(ack));
+  }
+}
+
+void
+EndpointManager::Call(TimePoint aNow,
+                      TimePoint aAuthorityUntil,
+                      const std::string& aName,
+                      const EndpointState& aEndpoint,
+                      Led& aLed,
+                      Actions& aActions)
+{
+  auto call = aLed.m_lease.NextCall(aNow);
+  if (!call) {
+    return;
+  }
+  LeaseCallAction action{ aName,
+                          aEndpoint.m_config.m_address,
+                          aEndpoint.m_config.m_service,
+                          aLed.m_checksGrants,
+                          *std::move(call),
+                          {},
+                          {},
+                          aAuthorityUntil };
+  if (action.m_call.m_withPartitions) {
+    action.m_partitions = aLed.m_wanted;
+    action.m_keys = aLed.m_keys;
+  }
+  aActions.emplace_back(std::move(action));
+}
+
+void
+EndpointManager::OnTick(TimePoint aNow,
+                        const ClusterState& aState,
+                        const Directory& aDirectory,
+                        const GroupManager& aGroups,
+                        Actions& aActions)
+{
+  FindLed(aNow, aState, aGroups);
+  std::map<GroupId, std::vector<LayoutAck>> acks;
+  std::map<GroupId, Term> terms;
+  for (auto& [name, led] : m_led) {
+    const auto found = aState.m_endpoints.find(name);
+    if (found == aState.m_endpoints.end()) {
+      continue;
+    }
+    const auto& endpoint = found->second;
+    const auto id = GroupOf(aState, name, endpoint.m_config);
+    const auto group = aState.m_groups.find(id);
+    const auto until = aGroups.AuthorityUntil(id);
+    const bool leads = group != aState.m_groups.end() &&
+                       group->second.m_term == led.m_term && aNow < until;
+    if (!leads) {
+      continue;
+    }
+    if (endpoint.m_up) {
+      RefreshGrant(aState, aDirectory, name, endpoint, led);
+      KeepUp(aNow, id, name, endpoint, led, aActions);
+      CollectRelease(aNow, aState, aDirectory, name, endpoint, led, acks[id]);
+      terms[id] = led.m_term;
+    } else {
+      KeepDown(aNow, id, name, endpoint, led, aActions);
+    }
+    Call(aNow, until, name, endpoint, led, aActions);
+  }
+  for (auto& [id, list] : acks) {
+    if (!list.empty()) {
+      m_appends->AppendOnce("release " + ToString(id),
+                            ReleaseRecord{ id, terms[id], std::move(list) },
+                            aActions);
+    }
+  }
+}
+
+EndpointStanding
+EndpointManager::StandingOf(const ClusterState& aState,
+                            const GroupManager& aGroups,
+                            const std::string& aEndpoint) const
+{
+  EndpointStanding standing;
+  const auto found = m_led.find(aEndpoint);
+  const auto endpoint = aState.m_endpoints.find(aEndpoint);
+  if (found == m_led.end() || endpoint == aState.m_endpoints.end() ||
+      !TakesPart(endpoint->second)) {
+    return standing;
+  }
+  const auto& led = found->second;
+  const auto id = GroupOf(aState, aEndpoint, endpoint->second.m_config);
+  const auto group = aState.m_groups.find(id);
+  if (group == aState.m_groups.end() || group->second.m_term != led.m_term ||
+      led.m_lease.LastAnswer().m_draining) {
+    return standing;
+  }
+  standing.m_usableUntil =
+    std::min(aGroups.AuthorityUntil(id), led.m_lease.UsableUntil());
+  standing.m_token = led.m_lease.HeldToken();
+  if (!led.m_foreignClear) {
+    const auto own = m_running.find(aEndpoint);
+    const auto known = own == m_running.end() ? 0 : own->second.size();
+    const auto reported = led.m_lease.LastAnswer().m_running.size();
+    standing.m_foreignRunning = reported > known ? reported - known : 0;
+  }
+  return standing;
+}
+
+bool
+EndpointManager::Holds(const std::string& aEndpoint,
+                       std::uint64_t aPartition) const
+{
+  const auto found = m_led.find(aEndpoint);
+  return found != m_led.end() &&
+         std::binary_search(found->second.m_accepted.begin(),
+                            found->second.m_accepted.end(),
+                            aPartition);
+}
+
+} // namespace sapphirehook
--- /dev/null
+++ b/src/sapphirehook/peer/fwd.hpp
@@ -0,0 +1,15 @@
+#ifndef SAPPHIREHOOK_PEER_FWD_HPP
+#define SAPPHIREHOOK_PEER_FWD_HPP
+
+/** Messages and streams between daemons. */
+namespace sapphirehook {
+
+struct Heartbeat;
+struct HeartbeatAnswer;
+struct FetchRequest;
+struct FetchAnswer;
+class PeerMesh;
+
+} // namespace sapphirehook
+
+#endif
--- /dev/null
+++ b/src/sapphirehook/platform/fwd.hpp
@@ -0,0 +1,16 @@
+#ifndef SAPPHIREHOOK_PLATFORM_FWD_HPP
+#define SAPPHIREHOOK_PLATFORM_FWD_HPP
+
+/** The platform's log service and list of hosts. */
+namespace sapphirehook {
+
+struct LogRecord;
+struct LogBatch;
+struct LogEvent;
+class StreamReader;
+class RecordAppender;
+class HostListReader;
+
+} // namespace sapphirehook
+
+#endif
--- /dev/null
+++ b/standin/log_service.hpp
@@ -0,0 +1,66 @@
+#ifndef SAPPHIREHOOK_STANDIN_LOG_SERVICE_HPP
+#define SAPPHIREHOOK_STANDIN_LOG_SERVICE_HPP
+
+#include "sapphirehook/core/http_server.hpp"
+#include "sapphirehook/core/ids.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+
+namespace standin {
+
+/** Faults of the log service, set over HTTP. */
+struct LogFaults
+{
+  bool m_down = false;
+  int m_slowMs = 0;
+  /** Appends that take effect but are not answered. */
+  int m_lostReplies = 0;
+};
+
+/** Stands in for the platform's log service and list of hosts. */
+class LogService
+{
+public:
+  LogService();
+
+  /** Listens on "number:port". Returns Unavailable when that is in use. */
+  [[nodiscard]] absl::Status Start(const std::string& aAddress);
+  void Stop();
+
+  /** Sets the faults. */
+  void SetFaults(const LogFaults& aFaults);
+
+  /** Forgets the records of a stream before an offset. */
+  void Trim(const std::string& aStream, sapphirehook::Offset aFirst);
+
+private:
+  struct Stream
+  {
+    sapphirehook::Offset m_first = 0;
+    std::deque<std::string> m_records;
+  };
+
+  sapphirehook::HttpResponse Handle(const sapphirehook::HttpRequest& aRequest);
+  sapphirehook::HttpResponse Append(const std::string& aStream,
+                                    const std::string& aBytes);
+  sapphirehook::HttpResponse Read(const std::string& aStream,
+                                  sapphirehook::Offset aFrom,
+                                  int aWaitMs);
+  sapphirehook::HttpResponse Control(const sapphirehook::HttpRequest& aRequest);
+
+  std::mutex m_mutex;
+  std::condition_variable m_news;
+  bool m_stopping = false;
+  LogFaults m_faults;
+  std::map<std::string, Stream> m_streams;
+  std::map<std::string, std::string> m_hosts;
+  std::uint64_t m_appends = 0;
+  sapphirehook::HttpServer m_server;
+};
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
