Acknowledge layouts with kept partitions; batch endpoint records; tests

Change: a group's due endpoints go into one record; owners are computed from the layout before; grants are recomputed only when the service's owners have changed; the window rotates past what is in progress.

--- a/benchmark/slopes.cpp
+++ b/benchmark/slopes.cpp
@@ -319,6 +319,7 @@
   std::vector<Point> memory;
   std::vector<Point> cpu;
   std::vector<Point> lookup;
+  std::vector<Point> update;
   for (const std::uint32_t partitions : { 4096U, 8192U, 16384U, 32768U }) {
     const auto layout = MakeLayout(100, partitions);
     const auto before = benchmark::LiveBytes();
@@ -329,6 +330,12 @@
     cpu.push_back({ x * 100, MicrosecondsOf(1, [&](std::size_t) {
                       const sapphirehook::Placement again(layout);
                     }) });
+    auto fewer = layout;
+    fewer.m_domains.front().m_members.erase(
+      fewer.m_domains.front().m_members.begin() + 50);
+    update.push_back({ x, MicrosecondsOf(2, [&](std::size_t) {
+                         const sapphirehook::Placement next(fewer, placement);
+                       }) });
     std::vector<std::string> keys;
     for (int i = 0; i < 1000; ++i) {
       keys.push_back(Concat("customer-", i));
@@ -344,6 +351,7 @@
   }
   return { Fit("placement_bytes", "B", "partition", memory),
            Fit("placement_cpu", "us", "partition and endpoint", cpu),
+           Fit("placement_update_cpu", "us", "partition, one loss", update),
            Fit("owner_lookup_cpu", "us", "partition", lookup) };
 }
 
--- a/programs/standin-endpoint.cpp
+++ b/programs/standin-endpoint.cpp
@@ -20,6 +20,7 @@
     standin::EndpointBehavior behavior;
     behavior.m_name = given["name"].as<std::string>();
     behavior.m_serviceMs = given["service-ms"].as<int>();
+    behavior.m_journal = given["journal"].as<std::string>();
     behavior.m_checksGrants = given.count("unchecked") == 0;
     standin::Endpoint endpoint(behavior);
     const auto status = endpoint.Start(given["listen"].as<std::string>());
--- a/src/sapphirehook/core/http_client.cpp
+++ b/src/sapphirehook/core/http_client.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/core/http_client.hpp"
 
+#include <algorithm>
 #include <curl/curl.h>
 
 namespace sapphirehook {
@@ -21,6 +22,24 @@
   return bytes;
 }
 
+std::size_t
+OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aAnswer)
+{
+  const std::string line(aData, aSize * aCount);
+  const auto colon = line.find(": ");
+  if (colon != std::string::npos) {
+    auto name = line.substr(0, colon);
+    std::transform(
+      name.begin(), name.end(), name.begin(), [](unsigned char aLetter) {
+        return static_cast<char>(std::tolower(aLetter));
+      });
+    const auto end = line.find_last_not_of("\r\n");
+    static_cast<HttpAnswer*>(aAnswer)->m_headers[name] =
+      line.substr(colon + 2, end - colon - 1);
+  }
+  return line.size();
+}
+
 int
 OnProgress(void* aStop,
            curl_off_t /*aDownTotal*/,
@@ -56,12 +75,18 @@
 HttpClient::Call(const std::string& aMethod,
                  const std::string& aUrl,
                  const std::string& aBody,
-                 Millis aTimeout)
+                 Millis aTimeout,
+                 const std::vector<std::string>& aHeaders)
 {
   HttpAnswer answer;
   curl_slist* headers = curl_slist_append(nullptr, "Expect:");
   headers =
     curl_slist_append(headers, "Content-Type: application/octet-stream");
+  for (const auto& header : aHeaders) {
+    headers = curl_slist_append(headers, header.c_str());
+  }
+  curl_easy_setopt(m_curl, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(m_curl, CURLOPT_HEADERDATA, &answer);
   curl_easy_setopt(m_curl, CURLOPT_URL, aUrl.c_str());
   curl_easy_setopt(m_curl, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt(m_curl, CURLOPT_WRITEDATA, &answer.m_body);
--- a/src/sapphirehook/core/http_client.hpp
+++ b/src/sapphirehook/core/http_client.hpp
@@ -5,7 +5,9 @@
 
 #include <absl/status/statusor.h>
 #include <atomic>
+#include <map>
 #include <string>
+#include <vector>
 
 using CURL = void;
 
@@ -16,6 +18,8 @@
 {
   long m_status = 0;
   std::string m_body;
+  /** Header values by their names in lower case. */
+  std::map<std::string, std::string> m_headers;
 };
 
 /** Blocking HTTP calls over one kept connection. Used by one thread. */
@@ -30,12 +34,15 @@
   HttpClient(HttpClient&&) = delete;
   HttpClient& operator=(HttpClient&&) = delete;
 
-  /** Does one call. Returns Unavailable when there was no whole answer in
-      time; the call may have taken effect all the same. */
-  [[nodiscard]] absl::StatusOr<HttpAnswer> Call(const std::string& aMethod,
-                                                const std::string& aUrl,
-                                                const std::string& aBody,
-                                                Millis aTimeout);
+  /** Does one call, with headers in the form "Name: value". Returns Unavailable
+     when there was no whole answer in time; the call may have taken effect all
+     the same. */
+  [[nodiscard]] absl::StatusOr<HttpAnswer> Call(
+    const std::string& aMethod,
+    const std::string& aUrl,
+    const std::string& aBody,
+    Millis aTimeout,
+    const std::vector<std::string>& aHeaders = {});
 
 private:
   CURL* m_curl;
--- a/src/sapphirehook/dispatch/repeat_window.cpp
+++ b/src/sapphirehook/dispatch/repeat_window.cpp
@@ -8,18 +8,21 @@
   const auto full = [this] {
     return m_states.size() >= m_capacity || m_order.size() >= 2 * m_capacity;
   };
-  while (full() && !m_order.empty()) {
-    const auto place = std::move(m_order.front());
+  // What is in progress moves to the back; each place is looked at once.
+  auto left = m_order.size();
+  while (full() && left > 0) {
+    --left;
+    auto place = std::move(m_order.front());
     m_order.pop_front();
     const auto found = m_states.find(place.m_key);
     if (found == m_states.end() || found->second.m_number != place.m_number) {
       continue;
     }
     if (found->second.m_state == RepeatState::InProgress) {
-      m_order.push_back(place);
-      return;
+      m_order.push_back(std::move(place));
+    } else {
+      m_states.erase(found);
     }
-    m_states.erase(found);
   }
 }
 
--- a/src/sapphirehook/ownership/directory.cpp
+++ b/src/sapphirehook/ownership/directory.cpp
@@ -1,5 +1,7 @@
 #include "sapphirehook/ownership/directory.hpp"
 
+#include "sapphirehook/core/hash.hpp"
+
 #include <algorithm>
 
 namespace sapphirehook {
@@ -37,7 +39,19 @@
 Directory::Refresh(const ClusterState& aState)
 {
   m_kept.clear();
+  m_stamps.clear();
+  for (const auto& [name, service] : aState.m_services) {
+    const auto& layouts = service.m_layouts;
+    m_stamps[name] = layouts.empty() ? 0
+                                     : MixHashes(layouts.front().m_version,
+                                                 layouts.back().m_version);
+  }
   for (const auto& [name, endpoint] : aState.m_endpoints) {
+    auto& stamp = m_stamps[endpoint.m_config.m_service];
+    stamp = MixHashes(stamp, endpoint.m_up ? endpoint.m_ack + 1 : 0);
+    for (const auto partition : endpoint.m_kept) {
+      stamp = MixHashes(stamp, partition + 1);
+    }
     for (const auto partition : endpoint.m_kept) {
       if (endpoint.m_up) {
         m_kept[endpoint.m_config.m_service].push_back({ name, partition });
@@ -58,9 +72,17 @@
         placements.begin(), placements.end(), [&](const auto& aPlacement) {
           return aPlacement->Source().m_version == layout.m_version;
         });
-      renewed.push_back(known != placements.end()
-                          ? *known
-                          : std::make_shared<const Placement>(layout));
+      if (known != placements.end()) {
+        renewed.push_back(*known);
+      } else if (!renewed.empty()) {
+        renewed.push_back(
+          std::make_shared<const Placement>(layout, *renewed.back()));
+      } else if (!placements.empty()) {
+        renewed.push_back(
+          std::make_shared<const Placement>(layout, *placements.back()));
+      } else {
+        renewed.push_back(std::make_shared<const Placement>(layout));
+      }
     }
     placements = std::move(renewed);
   }
@@ -194,6 +216,13 @@
   return held;
 }
 
+std::uint64_t
+Directory::StampOf(const std::string& aService) const
+{
+  const auto found = m_stamps.find(aService);
+  return found == m_stamps.end() ? 0 : found->second;
+}
+
 Version
 Directory::NewestLayout(const std::string& aService) const
 {
--- a/src/sapphirehook/ownership/directory.hpp
+++ b/src/sapphirehook/ownership/directory.hpp
@@ -44,6 +44,10 @@
   /** Returns the version of a service's newest layout; 0 without one. */
   [[nodiscard]] Version NewestLayout(const std::string& aService) const;
 
+  /** Returns a number that changes whenever the owners of a service's keys, or
+      what its endpoints may still hold, have changed. */
+  [[nodiscard]] std::uint64_t StampOf(const std::string& aService) const;
+
 private:
   /** Placements of a service's layouts, the oldest first. */
   using Placements = std::vector<std::shared_ptr<const Placement>>;
@@ -71,6 +75,7 @@
 
   std::map<std::string, Placements> m_placements;
   std::map<std::string, std::vector<KeptPartition>> m_kept;
+  std::map<std::string, std::uint64_t> m_stamps;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/ownership/endpoint_manager.cpp
+++ b/src/sapphirehook/ownership/endpoint_manager.cpp
@@ -169,6 +169,8 @@
     }
     const auto known = m_led.find(name);
     if (known == m_led.end() || known->second.m_term != term->second) {
+      // A loss handed over in an earlier term is ignored by the fold.
+      m_givenUp.erase(name);
       m_led.insert_or_assign(
         name, MakeLed(aNow, endpoint, aState, aState.m_groups.at(id)));
     }
@@ -213,12 +215,13 @@
                               const EndpointState& aEndpoint,
                               Led& aLed)
 {
-  if (aLed.m_computedAt == aState.m_nextOffset && !aLed.m_dirty) {
+  const auto& service = aEndpoint.m_config.m_service;
+  const auto stamp = aDirectory.StampOf(service);
+  if (aLed.m_stamp == stamp && !aLed.m_dirty) {
     return;
   }
-  aLed.m_computedAt = aState.m_nextOffset;
+  aLed.m_stamp = stamp;
   aLed.m_dirty = false;
-  const auto& service = aEndpoint.m_config.m_service;
   auto wanted = aDirectory.HeldBy(aState, aName);
   const auto keptNow = Kept(aState, aDirectory, aName, aEndpoint, aLed);
   aLed.m_keeping = !keptNow.empty();
@@ -261,49 +264,37 @@
 
 void
 EndpointManager::KeepUp(TimePoint aNow,
-                        const GroupId& aGroup,
                         const std::string& aName,
                         const EndpointState& aEndpoint,
                         Led& aLed,
-                        Actions& aActions)
+                        Changes& aChanges)
 {
-  const auto down = "down " + aName;
   const bool suspect = aLed.m_lease.IsSuspect(aNow);
-  const bool givingUp = suspect || m_appends->IsUnderWay(down);
-  aLed.m_lease.SetProbeOnly(givingUp);
-  if (suspect && aNow >= HoldsNothingBy(aName, aLed)) {
-    const bool appended = m_appends->AppendOnce(
-      down, EndpointsDownRecord{ aGroup, aLed.m_term, { aName } }, aActions);
-    if (appended) {
-      aActions.emplace_back(
-        EventAction{ "endpoint-lost", ToString(aGroup), aName, "" });
-    }
+  const bool lost = m_givenUp.contains(aName);
+  aLed.m_lease.SetProbeOnly(suspect || lost);
+  if (suspect && !lost && aNow >= HoldsNothingBy(aName, aLed)) {
+    aChanges.m_down.push_back(aName);
     return;
   }
-  if (givingUp || !aLed.m_lease.HasAnswered()) {
+  if (suspect || lost || !aLed.m_lease.HasAnswered()) {
     return;
   }
   const bool draining = aLed.m_lease.LastAnswer().m_draining;
   if (draining && !aEndpoint.m_draining) {
-    m_appends->AppendOnce(
-      "draining " + aName,
-      EndpointsDrainingRecord{ aGroup, aLed.m_term, { aName } },
-      aActions);
+    aChanges.m_draining.push_back(aName);
   } else if (!draining && aEndpoint.m_draining) {
-    m_appends->AppendOnce("up " + aName,
-                          EndpointsUpRecord{ aGroup, aLed.m_term, { aName } },
-                          aActions);
+    aChanges.m_up.push_back(aName);
   }
 }
 
 void
 EndpointManager::KeepDown(TimePoint aNow,
-                          const GroupId& aGroup,
                           const std::string& aName,
                           const EndpointState& aEndpoint,
                           Led& aLed,
-                          Actions& aActions)
+                          Changes& aChanges)
 {
+  m_givenUp.erase(aName);
   aLed.m_lease.SetProbeOnly(true);
   aLed.m_accepted.clear();
   const auto since = aLed.m_lease.AnsweringSince();
@@ -312,9 +303,45 @@
   const bool willing =
     !aLed.m_lease.LastAnswer().m_draining && !aEndpoint.m_leaving;
   if (steady && willing) {
-    m_appends->AppendOnce("up " + aName,
-                          EndpointsUpRecord{ aGroup, aLed.m_term, { aName } },
-                          aActions);
+    aChanges.m_up.push_back(aName);
+  }
+}
+
+void
+EndpointManager::AppendChanges(const GroupId& aGroup,
+                               Changes aChanges,
+                               Actions& aActions)
+{
+  const auto name = ToString(aGroup);
+  const auto term = aChanges.m_term;
+  const auto lost = aChanges.m_down;
+  if (!lost.empty() &&
+      m_appends->AppendOnce(
+        "down " + name,
+        EndpointsDownRecord{ aGroup, term, std::move(aChanges.m_down) },
+        aActions)) {
+    for (const auto& endpoint : lost) {
+      m_givenUp.insert(endpoint);
+      aActions.emplace_back(EventAction{ "endpoint-lost", name, endpoint, "" });
+    }
+  }
+  if (!aChanges.m_up.empty()) {
+    m_appends->AppendOnce(
+      "up " + name,
+      EndpointsUpRecord{ aGroup, term, std::move(aChanges.m_up) },
+      aActions);
+  }
+  if (!aChanges.m_draining.empty()) {
+    m_appends->AppendOnce(
+      "draining " + name,
+      EndpointsDrainingRecord{ aGroup, term, std::move(aChanges.m_draining) },
+      aActions);
+  }
+  if (!aChanges.m_acks.empty()) {
+    m_appends->AppendOnce(
+      "release " + name,
+      ReleaseRecord{ aGroup, term, std::move(aChanges.m_acks) },
+      aActions);
   }
 }
 
@@ -379,8 +406,7 @@
                         Actions& aActions)
 {
   FindLed(aNow, aState, aGroups);
-  std::map<GroupId, std::vector<LayoutAck>> acks;
-  std::map<GroupId, Term> terms;
+  std::map<GroupId, Changes> changes;
   for (auto& [name, led] : m_led) {
     const auto found = aState.m_endpoints.find(name);
     if (found == aState.m_endpoints.end()) {
@@ -395,22 +421,19 @@
     if (!leads) {
       continue;
     }
+    auto& due = changes[id];
+    due.m_term = led.m_term;
     if (endpoint.m_up) {
       RefreshGrant(aState, aDirectory, name, endpoint, led);
-      KeepUp(aNow, id, name, endpoint, led, aActions);
-      CollectRelease(aNow, aState, aDirectory, name, endpoint, led, acks[id]);
-      terms[id] = led.m_term;
+      KeepUp(aNow, name, endpoint, led, due);
+      CollectRelease(aNow, aState, aDirectory, name, endpoint, led, due.m_acks);
     } else {
-      KeepDown(aNow, id, name, endpoint, led, aActions);
+      KeepDown(aNow, name, endpoint, led, due);
     }
     Call(aNow, until, name, endpoint, led, aActions);
   }
-  for (auto& [id, list] : acks) {
-    if (!list.empty()) {
-      m_appends->AppendOnce("release " + ToString(id),
-                            ReleaseRecord{ id, terms[id], std::move(list) },
-                            aActions);
-    }
+  for (auto& [id, due] : changes) {
+    AppendChanges(id, std::move(due), aActions);
   }
 }
 
--- a/src/sapphirehook/ownership/endpoint_manager.hpp
+++ b/src/sapphirehook/ownership/endpoint_manager.hpp
@@ -83,7 +83,8 @@
     TimePoint m_foreignUntil{};
     /** The endpoint runs no request but those known here. */
     bool m_foreignClear = false;
-    Offset m_computedAt = 0;
+    /** State of the directory that the grant was computed from. */
+    std::uint64_t m_stamp = 0;
     Version m_layout = 0;
     /** Partitions of the newest grant, in ascending order. */
     std::vector<std::uint64_t> m_wanted;
@@ -113,18 +114,30 @@
                                                 const std::string& aName,
                                                 const EndpointState& aEndpoint,
                                                 const Led& aLed) const;
+  /** Changes of a group's endpoints that are due, to be appended as one
+      record of each kind. */
+  struct Changes
+  {
+    Term m_term = 0;
+    std::vector<std::string> m_up;
+    std::vector<std::string> m_down;
+    std::vector<std::string> m_draining;
+    std::vector<LayoutAck> m_acks;
+  };
+
   void KeepUp(TimePoint aNow,
-              const GroupId& aGroup,
               const std::string& aName,
               const EndpointState& aEndpoint,
               Led& aLed,
-              Actions& aActions);
+              Changes& aChanges);
   void KeepDown(TimePoint aNow,
-                const GroupId& aGroup,
                 const std::string& aName,
                 const EndpointState& aEndpoint,
                 Led& aLed,
-                Actions& aActions);
+                Changes& aChanges);
+  void AppendChanges(const GroupId& aGroup,
+                     Changes aChanges,
+                     Actions& aActions);
   [[nodiscard]] TimePoint HoldsNothingBy(const std::string& aName,
                                          const Led& aLed) const;
   void CollectRelease(TimePoint aNow,
@@ -145,6 +158,8 @@
   std::shared_ptr<AppendQueue> m_appends;
   std::map<std::string, Led> m_led;
   std::map<std::string, RunningMap> m_running;
+  /** Endpoints whose loss has been handed over to the log. */
+  std::set<std::string> m_givenUp;
   Offset m_foundAt = 0;
   std::vector<std::pair<GroupId, Term>> m_foundFor;
 };
--- a/src/sapphirehook/ownership/layout.cpp
+++ b/src/sapphirehook/ownership/layout.cpp
@@ -2,6 +2,8 @@
 
 #include "sapphirehook/core/hash.hpp"
 
+#include <algorithm>
+
 namespace sapphirehook {
 
 Placement::Placement(const Layout& aLayout)
@@ -13,26 +15,102 @@
   }
 }
 
+Placement::Placement(const Layout& aLayout, const Placement& aEarlier)
+  : m_layout(aLayout)
+{
+  const auto& earlier = aEarlier.m_layout;
+  const bool comparable = earlier.m_partitions == m_layout.m_partitions;
+  m_owners.reserve(m_layout.m_domains.size());
+  for (const auto& domain : m_layout.m_domains) {
+    const auto found = std::find_if(
+      earlier.m_domains.begin(),
+      earlier.m_domains.end(),
+      [&](const auto& aOld) { return aOld.m_prefix == domain.m_prefix; });
+    if (comparable && found != earlier.m_domains.end()) {
+      const auto place =
+        static_cast<std::size_t>(found - earlier.m_domains.begin());
+      UpdateDomain(domain, *found, aEarlier.m_owners[place]);
+    } else {
+      FillDomain(domain);
+    }
+  }
+}
+
+void
+Placement::Offer(std::vector<Best>& aBest,
+                 std::size_t aPartition,
+                 std::uint64_t aDomainHash,
+                 const std::vector<Candidate>& aCandidates)
+{
+  const auto item = MixHashes(aDomainHash, aPartition);
+  auto& best = aBest[aPartition];
+  for (const auto& candidate : aCandidates) {
+    const auto score = static_cast<float>(
+      RendezvousScore(item, candidate.m_hash, candidate.m_weight));
+    // Of equal scores the first member's counts, whatever the order of offers.
+    const bool better =
+      score > best.m_score ||
+      (score == best.m_score && candidate.m_member < best.m_member);
+    if (better) {
+      best = { candidate.m_member, score };
+    }
+  }
+}
+
 void
 Placement::FillDomain(const Domain& aDomain)
 {
-  std::vector<std::uint64_t> hashes;
-  hashes.reserve(aDomain.m_members.size());
+  std::vector<Candidate> candidates;
+  for (const auto& member : aDomain.m_members) {
+    candidates.push_back({ static_cast<std::uint16_t>(candidates.size()),
+                           StableHash(member.m_endpoint),
+                           member.m_weight });
+  }
+  const auto domainHash = StableHash(aDomain.m_prefix);
+  auto& owners = m_owners.emplace_back(m_layout.m_partitions);
+  for (std::size_t i = 0; i < owners.size(); ++i) {
+    Offer(owners, i, domainHash, candidates);
+  }
+}
+
+void
+Placement::UpdateDomain(const Domain& aDomain,
+                        const Domain& aEarlier,
+                        const std::vector<Best>& aEarlierBest)
+{
+  std::vector<Candidate> all;
+  std::vector<Candidate> added;
+  // Place of each earlier member among the present ones.
+  std::vector<std::uint16_t> places(aEarlier.m_members.size(), kNoOwner);
+  std::size_t old = 0;
   for (const auto& member : aDomain.m_members) {
-    hashes.push_back(StableHash(member.m_endpoint));
+    const Candidate candidate{ static_cast<std::uint16_t>(all.size()),
+                               StableHash(member.m_endpoint),
+                               member.m_weight };
+    all.push_back(candidate);
+    // Members stand in the order of their names.
+    while (old < aEarlier.m_members.size() &&
+           aEarlier.m_members[old].m_endpoint < member.m_endpoint) {
+      ++old;
+    }
+    if (old < aEarlier.m_members.size() && aEarlier.m_members[old] == member) {
+      places[old] = candidate.m_member;
+    } else {
+      added.push_back(candidate);
+    }
   }
   const auto domainHash = StableHash(aDomain.m_prefix);
-  auto& owners = m_owners.emplace_back(m_layout.m_partitions, kNoOwner);
-  for (std::uint32_t number = 0; number < m_layout.m_partitions; ++number) {
-    const auto item = MixHashes(domainHash, number);
-    double best = -1;
-    for (std::size_t i = 0; i < hashes.size(); ++i) {
-      const double score =
-        RendezvousScore(item, hashes[i], aDomain.m_members[i].m_weight);
-      if (score > best) {
-        best = score;
-        owners[number] = static_cast<std::uint16_t>(i);
-      }
+  auto& owners = m_owners.emplace_back(aEarlierBest);
+  for (std::size_t i = 0; i < owners.size(); ++i) {
+    auto& best = owners[i];
+    const bool stays =
+      best.m_member != kNoOwner && places[best.m_member] != kNoOwner;
+    if (stays) {
+      best.m_member = places[best.m_member];
+      Offer(owners, i, domainHash, added);
+    } else {
+      best = {};
+      Offer(owners, i, domainHash, all);
     }
   }
 }
@@ -65,7 +143,7 @@
   if (aPartition.m_number >= owners.size()) {
     return nullptr;
   }
-  const auto index = owners[aPartition.m_number];
+  const auto index = owners[aPartition.m_number].m_member;
   if (index == kNoOwner) {
     return nullptr;
   }
--- a/src/sapphirehook/ownership/layout.hpp
+++ b/src/sapphirehook/ownership/layout.hpp
@@ -67,6 +67,11 @@
   /** Computes the owners of a layout by weighted rendezvous hashing. */
   explicit Placement(const Layout& aLayout);
 
+  /** Computes the owners of a layout from those of an earlier one of the same
+      service. The result is that of the other constructor; the cost grows
+      with the difference between the layouts only. */
+  Placement(const Layout& aLayout, const Placement& aEarlier);
+
   /** Returns the partition of a key. */
   [[nodiscard]] PartitionId PartitionOf(std::string_view aKey) const;
 
@@ -86,11 +91,34 @@
 private:
   static constexpr std::uint16_t kNoOwner = 0xFFFF;
 
+  /** The best candidate of one partition so far. */
+  struct Best
+  {
+    std::uint16_t m_member = kNoOwner;
+    /** Its rendezvous score, as precise as ties need. */
+    float m_score = -1;
+  };
+
+  /** A member with its hash, ready for scoring. */
+  struct Candidate
+  {
+    std::uint16_t m_member = 0;
+    std::uint64_t m_hash = 0;
+    double m_weight = 1;
+  };
+
   void FillDomain(const Domain& aDomain);
+  void UpdateDomain(const Domain& aDomain,
+                    const Domain& aEarlier,
+                    const std::vector<Best>& aEarlierBest);
+  static void Offer(std::vector<Best>& aBest,
+                    std::size_t aPartition,
+                    std::uint64_t aDomainHash,
+                    const std::vector<Candidate>& aCandidates);
 
   Layout m_layout;
-  /** Index of the owner in the domain's members, for each partition. */
-  std::vector<std::vector<std::uint16_t>> m_owners;
+  /** The owner's place in the domain's members, for each partition. */
+  std::vector<std::vector<Best>> m_owners;
 };
 
 } // namespace sapphirehook
--- a/standin/endpoint.cpp
+++ b/standin/endpoint.cpp
@@ -55,6 +55,20 @@
   return aRequest.m_path.substr(start + 1, end - start - 1);
 }
 
+Json
+ToJson(const ServedRequest& aServed)
+{
+  return { { "key", aServed.m_key },
+           { "path", aServed.m_path },
+           { "idempotency_key", aServed.m_idempotencyKey },
+           { "term", aServed.m_token.m_term },
+           { "sequence", aServed.m_token.m_sequence },
+           { "partition", aServed.m_partition },
+           { "body_bytes", aServed.m_bodyBytes },
+           { "start_ms", aServed.m_start.count() },
+           { "end_ms", aServed.m_end.count() } };
+}
+
 HttpResponse
 NotRun(int aStatus)
 {
@@ -71,6 +85,9 @@
   , m_boot(std::to_string(std::random_device()()))
   , m_server([this](const HttpRequest& aRequest) { return Handle(aRequest); })
 {
+  if (!m_behavior.m_journal.empty()) {
+    m_journal.open(m_behavior.m_journal, std::ios::app);
+  }
 }
 
 absl::Status
@@ -171,15 +188,7 @@
 {
   Json list = Json::array();
   for (const auto& served : Served()) {
-    list.push_back({ { "key", served.m_key },
-                     { "path", served.m_path },
-                     { "idempotency_key", served.m_idempotencyKey },
-                     { "term", served.m_token.m_term },
-                     { "sequence", served.m_token.m_sequence },
-                     { "partition", served.m_partition },
-                     { "body_bytes", served.m_bodyBytes },
-                     { "start_ms", served.m_start.count() },
-                     { "end_ms", served.m_end.count() } });
+    list.push_back(ToJson(served));
   }
   HttpResponse response;
   response.m_body = list.dump();
@@ -199,10 +208,28 @@
   return tokenFits && SinceBoot(BootClock::now()) < m_leaseUntil;
 }
 
+void
+Endpoint::WriteJournal(std::uint64_t aId, const ServedRequest& aServed)
+{
+  if (!m_journal.is_open()) {
+    return;
+  }
+  auto line = ToJson(aServed);
+  line["id"] = m_boot + "-" + std::to_string(aId);
+  m_journal << line.dump() << std::endl;
+}
+
 HttpResponse
 Endpoint::Run(const HttpRequest& aRequest)
 {
   ServedRequest served;
+  served.m_key = KeyOf(aRequest);
+  served.m_path = aRequest.m_path;
+  served.m_idempotencyKey = HeaderOf(aRequest, "idempotency-key");
+  served.m_token = FenceOf(aRequest);
+  served.m_bodyBytes = aRequest.m_bodySize;
+  served.m_partition = std::strtoull(
+    HeaderOf(aRequest, "sapphirehook-partition").c_str(), nullptr, 10);
   EndpointBehavior behavior;
   std::uint64_t id = 0;
   {
@@ -214,21 +241,16 @@
     if (behavior.m_shedding) {
       return NotRun(kUnavailable);
     }
-    served.m_partition = std::strtoull(
-      HeaderOf(aRequest, "sapphirehook-partition").c_str(), nullptr, 10);
     id = ++m_lastRun;
     m_running[id] = served.m_partition;
     served.m_start = SinceBoot(BootClock::now());
+    served.m_end = served.m_start;
+    WriteJournal(id, served);
   }
   const auto asked = HeaderOf(aRequest, "x-service-ms");
   const Millis work(asked.empty() ? behavior.m_serviceMs
                                   : std::atoi(asked.c_str()));
   std::this_thread::sleep_for(work);
-  served.m_key = KeyOf(aRequest);
-  served.m_path = aRequest.m_path;
-  served.m_idempotencyKey = HeaderOf(aRequest, "idempotency-key");
-  served.m_token = FenceOf(aRequest);
-  served.m_bodyBytes = aRequest.m_bodySize;
   HttpResponse response;
   response.m_headers["Content-Type"] = "application/json";
   response.m_body = Json{
@@ -243,6 +265,7 @@
   const std::lock_guard lock(m_mutex);
   served.m_end = SinceBoot(BootClock::now());
   m_running.erase(id);
+  WriteJournal(id, served);
   m_served.push_back(std::move(served));
   return response;
 }
--- a/standin/endpoint.hpp
+++ b/standin/endpoint.hpp
@@ -4,7 +4,7 @@
 #include "sapphirehook/core/http_server.hpp"
 #include "sapphirehook/core/ids.hpp"
 
-#include <atomic>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -15,6 +15,9 @@
 struct EndpointBehavior
 {
   std::string m_name;
+  /** File that each start and end of a request is written to before its
+      answer, so that a test can judge a killed endpoint; empty for none. */
+  std::string m_journal;
   bool m_checksGrants = true;
   int m_serviceMs = 0;
   bool m_draining = false;
@@ -67,6 +70,7 @@
   sapphirehook::HttpResponse OnRecords() const;
   sapphirehook::HttpResponse Run(const sapphirehook::HttpRequest& aRequest);
   [[nodiscard]] bool MayRun(const sapphirehook::HttpRequest& aRequest) const;
+  void WriteJournal(std::uint64_t aId, const ServedRequest& aServed);
 
   mutable std::mutex m_mutex;
   EndpointBehavior m_behavior;
@@ -76,6 +80,7 @@
   std::uint64_t m_lastRun = 0;
   std::map<std::uint64_t, std::uint64_t> m_running;
   std::vector<ServedRequest> m_served;
+  std::ofstream m_journal;
   sapphirehook::HttpServer m_server;
 };
 
--- a/standin/log_service.cpp
+++ b/standin/log_service.cpp
@@ -147,7 +147,8 @@
   if (aRequest.m_path == "/faults") {
     SetFaults({ json.value("down", false),
                 json.value("slow_ms", 0),
-                json.value("lost_replies", 0) });
+                json.value("lost_replies", 0),
+                json.value("cut", std::vector<std::string>()) });
     return JsonAnswer({});
   }
   if (aRequest.m_path == "/trim") {
@@ -164,7 +165,13 @@
 HttpResponse
 LogService::Handle(const HttpRequest& aRequest)
 {
-  const auto& path = aRequest.m_path;
+  auto path = aRequest.m_path;
+  const auto version = path.find("/v1/");
+  std::string caller;
+  if (version != std::string::npos && version > 0) {
+    caller = path.substr(1, version - 1);
+    path = path.substr(version);
+  }
   if (path == "/faults" || path == "/trim" || path == "/hosts") {
     return Control(aRequest);
   }
@@ -176,7 +183,10 @@
   if (faults.m_slowMs > 0) {
     std::this_thread::sleep_for(std::chrono::milliseconds(faults.m_slowMs));
   }
-  if (faults.m_down) {
+  const bool cut =
+    std::find(faults.m_cut.begin(), faults.m_cut.end(), caller) !=
+    faults.m_cut.end();
+  if (faults.m_down || cut) {
     return Status(kUnavailable);
   }
   if (path == "/v1/hosts") {
--- a/standin/log_service.hpp
+++ b/standin/log_service.hpp
@@ -18,6 +18,9 @@
   int m_slowMs = 0;
   /** Appends that take effect but are not answered. */
   int m_lostReplies = 0;
+  /** Callers that are cut off: those whose address of the service ends with
+      "/NAME". */
+  std::vector<std::string> m_cut;
 };
 
 /** Stands in for the platform's log service and list of hosts. */
--- /dev/null
+++ b/test/sapphirehook/ownership/state.cpp
@@ -0,0 +1,213 @@
+#include "sapphirehook/ownership/state.hpp"
+
+#include "sapphirehook/core/message_pack.hpp"
+#include "sapphirehook/core/text.hpp"
+#include "sapphirehook/ownership/directory.hpp"
+#include "support/generate.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace sapphirehook;
+
+namespace {
+
+constexpr std::uint64_t kPartitions = 8;
+constexpr std::size_t kHistory = 120;
+
+std::string
+KeyNumber(std::uint64_t aIndex)
+{
+  return Concat(aIndex % 5 == 0 ? "vip" : "k", aIndex);
+}
+
+/** Judges every record with plain maps over the whole history: which
+    endpoint may hold which key, from the grants that dispatchers obeying the
+    log can have given. Knows nothing of layouts that were pruned. */
+class NaiveHolders
+{
+public:
+  /** Takes note of who may hold each key by a state: the owner when the state
+      calls it settled, in addition to all who have not let go. */
+  void Observe(const ClusterState& aState, const Directory& aDirectory)
+  {
+    LetGo(aState);
+    for (const auto& [service, config] : aState.m_services) {
+      for (std::uint64_t i = 0; i < kKeys; ++i) {
+        const auto key = KeyNumber(i);
+        const auto owner = aDirectory.OwnerOf(aState, service, key);
+        if (owner.m_endpoint == nullptr || !owner.m_settled) {
+          continue;
+        }
+        auto& holders = m_holders[service + "/" + key];
+        const auto& endpoint = aState.m_endpoints.at(*owner.m_endpoint);
+        holders[*owner.m_endpoint] = aDirectory.NewestLayout(service);
+        static_cast<void>(endpoint);
+        if (holders.size() > 1) {
+          m_fault = service + "/" + key;
+        }
+      }
+    }
+  }
+
+  [[nodiscard]] const std::string& Fault() const { return m_fault; }
+
+private:
+  static constexpr std::uint64_t kKeys = 40;
+
+  /** An endpoint lets go of a key when it is down or gone, or has
+      acknowledged a newer layout without keeping the key's partition. */
+  void LetGo(const ClusterState& aState)
+  {
+    for (auto& [name, holders] : m_holders) {
+      const auto slash = name.find('/');
+      const auto service = aState.m_services.find(name.substr(0, slash));
+      const auto key = name.substr(slash + 1);
+      std::erase_if(holders, [&](const auto& aHolder) {
+        const auto endpoint = aState.m_endpoints.find(aHolder.first);
+        if (endpoint == aState.m_endpoints.end() || !endpoint->second.m_up) {
+          return true;
+        }
+        if (endpoint->second.m_ack <= aHolder.second ||
+            service == aState.m_services.end()) {
+          return false;
+        }
+        return !Keeps(endpoint->second, service->second, key);
+      });
+    }
+  }
+
+  static bool Keeps(const EndpointState& aEndpoint,
+                    const ServiceState& aService,
+                    const std::string& aKey)
+  {
+    const Placement placement(aService.m_layouts.back());
+    const auto packed = PackPartition(placement.PartitionOf(aKey));
+    const auto& kept = aEndpoint.m_kept;
+    return std::find(kept.begin(), kept.end(), packed) != kept.end();
+  }
+
+  std::map<std::string, std::map<std::string, Version>> m_holders;
+  std::string m_fault;
+};
+
+/** A history of records, with repeats and faults. */
+std::vector<std::string>
+MakeHistory(unsigned aSeed, std::size_t aLength)
+{
+  std::mt19937 random(aSeed);
+  ClusterState state;
+  std::vector<std::string> history;
+  std::map<std::string, std::uint64_t> sequences;
+  while (history.size() < aLength) {
+    const auto round = history.size();
+    const HostId writer{ Concat("h", support::Draw(random, 4)), 1 };
+    const Record record{ writer,
+                         ++sequences[writer.m_host],
+                         support::RandomBody(random, state, round) };
+    auto bytes = EncodeRecord(record);
+    if (support::Draw(random, 30) == 0) {
+      bytes.resize(bytes.size() / 2);
+    }
+    const auto copies = 1 + support::Draw(random, 6) / 5;
+    for (std::uint64_t i = 0; i < copies; ++i) {
+      history.push_back(bytes);
+      const auto decoded = DecodeRecord(bytes);
+      if (decoded.ok()) {
+        static_cast<void>(ApplyRecord(state, state.m_nextOffset, *decoded));
+      }
+    }
+  }
+  return history;
+}
+
+void
+FoldOne(ClusterState& aState, Offset aOffset, const std::string& aBytes)
+{
+  const auto record = DecodeRecord(aBytes);
+  if (record.ok()) {
+    static_cast<void>(ApplyRecord(aState, aOffset, *record));
+  } else {
+    SkipRecord(aState, aOffset);
+  }
+}
+
+} // namespace
+
+TEST_CASE("states are byte-equal whichever snapshot they started from",
+          "[state]")
+{
+  CHECK(rc::check("fold", [](unsigned aSeed) {
+    const auto history = MakeHistory(aSeed, kHistory);
+    ClusterState whole;
+    std::string snapshot;
+    const auto cut = aSeed % history.size();
+    for (std::size_t i = 0; i < history.size(); ++i) {
+      if (i == cut) {
+        snapshot = Pack(whole);
+      }
+      FoldOne(whole, i, history[i]);
+    }
+    auto later = Unpack<ClusterState>(snapshot);
+    RC_ASSERT(later.ok());
+    for (std::size_t i = 0; i < history.size(); ++i) {
+      FoldOne(*later, i, history[i]);
+    }
+    RC_ASSERT(Pack(whole) == Pack(*later));
+  }));
+}
+
+TEST_CASE("a repeated append changes nothing", "[state]")
+{
+  CHECK(rc::check("repeat", [](unsigned aSeed) {
+    const auto history = MakeHistory(aSeed, kHistory);
+    ClusterState once;
+    ClusterState twice;
+    Offset offset = 0;
+    for (std::size_t i = 0; i < history.size(); ++i) {
+      FoldOne(once, i, history[i]);
+      FoldOne(twice, offset++, history[i]);
+      FoldOne(twice, offset++, history[i]);
+    }
+    twice.m_nextOffset = once.m_nextOffset;
+    RC_ASSERT(Pack(once) == Pack(twice));
+  }));
+}
+
+TEST_CASE("no key is settled at two endpoints at once", "[state]")
+{
+  std::size_t settled = 0;
+  CHECK(rc::check("owners", [&](unsigned aSeed) {
+    const auto history = MakeHistory(aSeed, kHistory);
+    ClusterState state;
+    Directory directory;
+    NaiveHolders holders;
+    for (std::size_t i = 0; i < history.size(); ++i) {
+      FoldOne(state, i, history[i]);
+      directory.Refresh(state);
+      holders.Observe(state, directory);
+      RC_ASSERT(holders.Fault() == "");
+    }
+    for (std::uint64_t i = 0; i < kPartitions; ++i) {
+      settled += directory.OwnerOf(state, "s0", KeyNumber(i)).m_settled;
+    }
+  }));
+  CHECK(settled > 0);
+}
+
+TEST_CASE("an accepted ticket is never reverted by a lower number", "[state]")
+{
+  CHECK(rc::check("tickets", [](unsigned aSeed) {
+    const auto history = MakeHistory(aSeed, kHistory);
+    ClusterState state;
+    std::map<std::string, std::uint64_t> highest;
+    for (std::size_t i = 0; i < history.size(); ++i) {
+      FoldOne(state, i, history[i]);
+      for (const auto& [object, number] : state.m_objectTickets) {
+        RC_ASSERT(number >= highest[object]);
+        highest[object] = number;
+      }
+    }
+  }));
+}
