--- /dev/null
+++ b/benchmark/recovery.cpp
@@ -0,0 +1,183 @@
+#include "support/cluster.hpp"
+
+#include "sapphirehook/core/text.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+using sapphirehook::BootClock;
+using sapphirehook::Concat;
+using sapphirehook::TimePoint;
+using support::Cluster;
+using Json = nlohmann::json;
+
+constexpr int kRuns = 20;
+constexpr std::size_t kDaemons = 4;
+constexpr std::size_t kEndpoints = 6;
+constexpr auto kSettle = std::chrono::milliseconds(2500);
+
+double
+MsSince(TimePoint aStart)
+{
+  return std::chrono::duration<double, std::milli>(BootClock::now() - aStart)
+    .count();
+}
+
+/** Waits until the key is answered without a gap of one answer. */
+double
+AwaitAnswer(const Cluster& aCluster,
+            std::size_t aDaemon,
+            const std::string& aKey,
+            const std::string& aNot,
+            TimePoint aStart)
+{
+  Cluster::Await([&] {
+    const auto answer = aCluster.Ask(aDaemon,
+                                     "GET",
+                                     Concat("/catalogue/", aKey, "/item"),
+                                     "",
+                                     { "Sapphirehook-Deadline-Ms: 150" },
+                                     sapphirehook::Millis(400));
+    return answer.ok() && answer->m_status == 200 &&
+           (aNot.empty() || answer->m_body.find(aNot) == std::string::npos);
+  });
+  return MsSince(aStart);
+}
+
+std::size_t
+Other(std::size_t aIndex)
+{
+  return (aIndex + 1) % kDaemons;
+}
+
+double
+LoseEndpoint(Cluster& aCluster, int aRun, int aSignal)
+{
+  const auto key = Concat("k", aRun);
+  const auto owner = aCluster.AwaitServed(0, key);
+  const auto index = Cluster::IndexOf(owner);
+  const auto start = BootClock::now();
+  aCluster.Endpoint(index).Signal(aSignal);
+  const auto span =
+    AwaitAnswer(aCluster, 0, key, Concat("\"", owner, "\""), start);
+  if (aSignal == SIGKILL) {
+    aCluster.KillEndpoint(index);
+    aCluster.StartEndpoint(index);
+  } else {
+    aCluster.Endpoint(index).Signal(SIGCONT);
+  }
+  return span;
+}
+
+double
+LoseDispatcher(Cluster& aCluster, int aRun, int aSignal)
+{
+  const auto key = Concat("k", aRun);
+  const auto owner = aCluster.AwaitServed(0, key);
+  const auto leader = aCluster.LeaderOf(0, owner);
+  const auto entry = Other(leader);
+  aCluster.AwaitServed(entry, key);
+  const auto start = BootClock::now();
+  aCluster.Daemon(leader).Signal(aSignal);
+  const auto span = AwaitAnswer(aCluster, entry, key, "", start);
+  // An answer can come from before the loss; the successor's counts.
+  Cluster::Await([&] { return aCluster.LeaderOf(entry, owner) != leader; });
+  const auto taken = AwaitAnswer(aCluster, entry, key, "", start);
+  if (aSignal == SIGKILL) {
+    aCluster.StopDaemon(leader);
+    aCluster.StartDaemon(leader);
+  } else {
+    aCluster.Daemon(leader).Signal(SIGCONT);
+  }
+  return std::max(span, taken);
+}
+
+double
+LoseBoth(Cluster& aCluster, int aRun)
+{
+  const auto key = Concat("k", aRun);
+  const auto owner = aCluster.AwaitServed(0, key);
+  const auto index = Cluster::IndexOf(owner);
+  const auto leader = aCluster.LeaderOf(0, owner);
+  const auto entry = Other(leader);
+  aCluster.AwaitServed(entry, key);
+  const auto start = BootClock::now();
+  aCluster.Daemon(leader).Signal(SIGKILL);
+  aCluster.Endpoint(index).Signal(SIGKILL);
+  const auto span =
+    AwaitAnswer(aCluster, entry, key, Concat("\"", owner, "\""), start);
+  aCluster.StopDaemon(leader);
+  aCluster.StartDaemon(leader);
+  aCluster.KillEndpoint(index);
+  aCluster.StartEndpoint(index);
+  return span;
+}
+
+template<typename Lose>
+Json
+Measure(const std::string& aName, Lose aLose)
+{
+  Cluster cluster({ kDaemons, kEndpoints, 1, {}, "" });
+  cluster.AwaitServed(0, "k0");
+  std::this_thread::sleep_for(kSettle);
+  std::vector<double> spans;
+  for (int run = 0; run < kRuns; ++run) {
+    spans.push_back(aLose(cluster, run));
+    Cluster::Await([&] {
+      const auto status = cluster.Page(0, "/status");
+      if (!status.is_object() || status.at("members").size() < kDaemons) {
+        return false;
+      }
+      for (const auto& endpoint : status.at("endpoints")) {
+        if (!endpoint.at("up").get<bool>()) {
+          return false;
+        }
+      }
+      return true;
+    });
+    std::this_thread::sleep_for(kSettle);
+  }
+  std::sort(spans.begin(), spans.end());
+  std::cerr << aName << ": min " << spans.front() << " median "
+            << spans[spans.size() / 2] << " max " << spans.back() << " ms\n";
+  return { { "name", aName },
+           { "unit", "ms" },
+           { "runs", spans.size() },
+           { "min", spans.front() },
+           { "median", spans[spans.size() / 2] },
+           { "max", spans.back() },
+           { "spans", spans } };
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  sapphirehook::InitHttp();
+  Json all = Json::array();
+  all.push_back(Measure("endpoint_killed", [](Cluster& aCluster, int aRun) {
+    return LoseEndpoint(aCluster, aRun, SIGKILL);
+  }));
+  all.push_back(Measure("endpoint_frozen", [](Cluster& aCluster, int aRun) {
+    return LoseEndpoint(aCluster, aRun, SIGSTOP);
+  }));
+  all.push_back(Measure("dispatcher_killed", [](Cluster& aCluster, int aRun) {
+    return LoseDispatcher(aCluster, aRun, SIGKILL);
+  }));
+  all.push_back(Measure("dispatcher_frozen", [](Cluster& aCluster, int aRun) {
+    return LoseDispatcher(aCluster, aRun, SIGSTOP);
+  }));
+  all.push_back(Measure("dispatcher_and_endpoint_killed", LoseBoth));
+  const auto text = all.dump(2) + "\n";
+  if (aCount > 1) {
+    std::ofstream(aArguments[1]) << text;
+  } else {
+    std::cout << text;
+  }
+  return 0;
+}
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -116,7 +116,7 @@
   } else if (aKind == "operators") {
     port += 30;
   } else if (aKind == "endpoint") {
-    port += 40;
+    port += 40; // the last, since it has no bound
   }
   return Concat("127.0.0.1:", port);
 }
