--- a/src/sapphirehook/daemon/decision_loop.cpp
+++ b/src/sapphirehook/daemon/decision_loop.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Millis kTickEvery{ 10 };
+constexpr Millis kTickEvery{ 20 };
 constexpr Millis kQueryTimeout{ 1000 };
 
 } // namespace
--- a/src/sapphirehook/endpoint/client.cpp
+++ b/src/sapphirehook/endpoint/client.cpp
@@ -15,6 +15,7 @@
 
 constexpr long kMaxConnectionsPerEndpoint = 110;
 constexpr long kConnectTimeoutMs = 300;
+constexpr std::size_t kKeptHandles = 256;
 constexpr long kReceiveBufferBytes = 65536;
 constexpr int kKeepAliveSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
@@ -96,7 +97,7 @@
 
   ~EndpointTransfer()
   {
-    curl_easy_cleanup(m_easy);
+    m_client.KeepHandle(m_easy);
     curl_slist_free_all(m_headers);
   }
 
@@ -120,7 +121,7 @@
 private:
   void Open()
   {
-    m_easy = curl_easy_init();
+    m_easy = m_client.TakeHandle();
     curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
     curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
@@ -437,6 +438,9 @@
     curl_multi_remove_handle(m_multi, transfer->Handle());
   }
   m_transfers.clear();
+  for (auto* handle : m_handles) {
+    curl_easy_cleanup(handle);
+  }
   curl_multi_cleanup(m_multi);
 }
 
@@ -482,6 +486,28 @@
   }
 }
 
+void*
+EndpointClient::TakeHandle()
+{
+  if (m_handles.empty()) {
+    return curl_easy_init();
+  }
+  auto* handle = m_handles.back();
+  m_handles.pop_back();
+  return handle;
+}
+
+void
+EndpointClient::KeepHandle(void* aHandle)
+{
+  if (m_handles.size() >= kKeptHandles) {
+    curl_easy_cleanup(aHandle);
+    return;
+  }
+  curl_easy_reset(aHandle);
+  m_handles.push_back(aHandle);
+}
+
 void
 EndpointClient::Begin(std::unique_ptr<internal::EndpointTransfer> aTransfer)
 {
--- a/src/sapphirehook/endpoint/client.hpp
+++ b/src/sapphirehook/endpoint/client.hpp
@@ -95,6 +95,10 @@
   void TakeCommands();
   void TakeResumes();
   void TakeFinished();
+  /** Returns a cleared handle, kept from an ended transfer where there is one.
+   */
+  [[nodiscard]] void* TakeHandle();
+  void KeepHandle(void* aHandle);
   void Begin(std::unique_ptr<internal::EndpointTransfer> aTransfer);
   void Emit(const EndpointEvent& aEvent);
   /** Asks the thread to look at a transfer again. Callable anywhere. */
@@ -107,6 +111,7 @@
   Ring<EndpointEvent>& m_events;
   Millis m_callTimeout;
   void* m_multi;
+  std::vector<void*> m_handles;
   Ring<EndpointCommand> m_commands;
   std::unordered_map<std::uint64_t, std::unique_ptr<internal::EndpointTransfer>>
     m_transfers;
--- a/src/sapphirehook/ownership/group_manager.cpp
+++ b/src/sapphirehook/ownership/group_manager.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t kPingedCandidates = 4;
 constexpr Millis kScanEvery{ 200 };
 constexpr Millis kHandoverEvery{ 100 };
+constexpr Millis kRebalanceEvery{ 1000 };
 constexpr Millis kSecondClaimDelay{ 40 };
 constexpr Millis kContactFresh{ 1000 };
 
@@ -163,6 +164,7 @@
 GroupManager::OnHostList(std::vector<ListedHost> aHosts)
 {
   m_listed = std::move(aHosts);
+  m_listChanged = true;
 }
 
 bool
@@ -180,17 +182,23 @@
 }
 
 bool
-GroupManager::IsGone(TimePoint aNow,
-                     const ClusterState& aState,
-                     const HostId& aHost) const
+GroupManager::IsReplaced(const ClusterState& aState, const HostId& aHost) const
 {
   const bool listedGone =
     std::any_of(m_listed.begin(), m_listed.end(), [&](const auto& aListed) {
       return aListed.m_host == aHost.m_host && aListed.m_gone;
     });
+  return listedGone || !IsMember(aState, aHost);
+}
+
+bool
+GroupManager::IsGone(TimePoint aNow,
+                     const ClusterState& aState,
+                     const HostId& aHost) const
+{
   const bool silent =
     !m_contacts.IsFresh(aNow, aHost, m_config.m_timing.m_guardGrace);
-  return silent && (listedGone || !IsMember(aState, aHost));
+  return silent && IsReplaced(aState, aHost);
 }
 
 std::vector<HostId>
@@ -406,6 +414,7 @@
   if (aNow < m_nextHandover) {
     return;
   }
+  m_nextHandover = aNow + (m_stopping ? kHandoverEvery : kRebalanceEvery);
   for (auto& [id, role] : m_roles) {
     auto& authority = role.m_authority;
     const auto purpose = "handover " + ToString(id);
@@ -432,7 +441,6 @@
       aActions);
     aActions.emplace_back(
       EventAction{ "handover", ToString(id), "", ToString(*successor) });
-    m_nextHandover = aNow + kHandoverEvery;
     if (!m_stopping) {
       return;
     }
@@ -451,16 +459,73 @@
 }
 
 void
-GroupManager::FindNeededGroups(const ClusterState& aState)
+GroupManager::FindUnled(const ClusterState& aState)
 {
-  if (m_neededAt == aState.m_nextOffset) {
+  if (m_unledAt == aState.m_nextOffset && !m_listChanged) {
     return;
   }
-  m_neededAt = aState.m_nextOffset;
-  m_needed.clear();
+  m_unledAt = aState.m_nextOffset;
+  m_listChanged = false;
+  std::map<GroupId, std::optional<TimePoint>> unled;
+  const auto replaced = [&](const HostId& aHost) {
+    return IsReplaced(aState, aHost);
+  };
   for (const auto& [name, endpoint] : aState.m_endpoints) {
-    m_needed.insert(GroupOf(aState, name, endpoint.m_config));
+    const auto id = GroupOf(aState, name, endpoint.m_config);
+    if (unled.contains(id)) {
+      continue;
+    }
+    const auto found = aState.m_groups.find(id);
+    const bool mayBeUnled = found == aState.m_groups.end() ||
+                            (replaced(found->second.m_dispatcher) &&
+                             std::all_of(found->second.m_standbys.begin(),
+                                         found->second.m_standbys.end(),
+                                         replaced));
+    if (mayBeUnled) {
+      const auto known = m_unled.find(id);
+      unled[id] = known == m_unled.end() ? std::nullopt : known->second;
+    }
   }
+  m_unled = std::move(unled);
+}
+
+void
+GroupManager::ClaimIfUnled(TimePoint aNow,
+                           const ClusterState& aState,
+                           const GroupId& aGroup,
+                           Actions& aActions)
+{
+  const auto& timing = m_config.m_timing;
+  const auto found = aState.m_groups.find(aGroup);
+  const bool unclaimed = found == aState.m_groups.end();
+  auto& since = m_unled.at(aGroup);
+  const auto gone = [&](const HostId& aHost) {
+    return IsGone(aNow, aState, aHost);
+  };
+  const bool silent =
+    unclaimed ||
+    (gone(found->second.m_dispatcher) &&
+     std::all_of(
+       found->second.m_standbys.begin(), found->second.m_standbys.end(), gone));
+  if (!silent) {
+    since.reset();
+    return;
+  }
+  since = since.value_or(aNow);
+  const auto wait = unclaimed ? timing.m_bootstrapDelay : timing.m_guardGrace;
+  const auto stagger = StaggerOf(aState, aGroup.m_region, ItemOf(aGroup));
+  const auto candidates = FreshCandidates(aNow, aState, aGroup);
+  if (aNow - *since < wait + stagger) {
+    return;
+  }
+  m_appends->AppendOnce(
+    "claim " + ToString(aGroup),
+    ClaimRecord{ aGroup,
+                 unclaimed ? 0 : found->second.m_version,
+                 m_config.m_self,
+                 ChooseStandbys(aState, m_config.m_self, candidates),
+                 static_cast<std::uint32_t>(timing.m_endpointLease.count()) },
+    aActions);
 }
 
 void
@@ -468,38 +533,9 @@
                          const ClusterState& aState,
                          Actions& aActions)
 {
-  FindNeededGroups(aState);
-  const auto& timing = m_config.m_timing;
-  for (const auto& id : m_needed) {
-    const auto found = aState.m_groups.find(id);
-    const bool unclaimed = found == aState.m_groups.end();
-    const auto gone = [&](const HostId& aHost) {
-      return IsGone(aNow, aState, aHost);
-    };
-    const bool unled =
-      unclaimed || (gone(found->second.m_dispatcher) &&
-                    std::all_of(found->second.m_standbys.begin(),
-                                found->second.m_standbys.end(),
-                                gone));
-    if (!unled) {
-      m_unledSince.erase(id);
-      continue;
-    }
-    const auto since = m_unledSince.try_emplace(id, aNow).first->second;
-    const auto wait = unclaimed ? timing.m_bootstrapDelay : timing.m_guardGrace;
-    const auto stagger = StaggerOf(aState, id.m_region, ItemOf(id));
-    const auto candidates = FreshCandidates(aNow, aState, id);
-    if (aNow - since < wait + stagger) {
-      continue;
-    }
-    m_appends->AppendOnce(
-      "claim " + ToString(id),
-      ClaimRecord{ id,
-                   unclaimed ? 0 : found->second.m_version,
-                   m_config.m_self,
-                   ChooseStandbys(aState, m_config.m_self, candidates),
-                   static_cast<std::uint32_t>(timing.m_endpointLease.count()) },
-      aActions);
+  FindUnled(aState);
+  for (const auto& [id, since] : m_unled) {
+    ClaimIfUnled(aNow, aState, id, aActions);
   }
 }
 
--- a/src/sapphirehook/ownership/group_manager.hpp
+++ b/src/sapphirehook/ownership/group_manager.hpp
@@ -49,7 +49,11 @@
               Actions& aActions);
 
   /** Starts to hand every role over. */
-  void BeginStop() noexcept { m_stopping = true; }
+  void BeginStop() noexcept
+  {
+    m_stopping = true;
+    m_nextHandover = {};
+  }
 
   /** Returns whether this daemon has no role left. */
   [[nodiscard]] bool HasNoRole() const;
@@ -131,7 +135,17 @@
   void RemoveLostMembers(TimePoint aNow,
                          const ClusterState& aState,
                          Actions& aActions);
-  void FindNeededGroups(const ClusterState& aState);
+  /** Returns whether a daemon run is succeeded, has left, or is called gone
+      by the platform's list. */
+  [[nodiscard]] bool IsReplaced(const ClusterState& aState,
+                                const HostId& aHost) const;
+  /** Finds the groups that may have no dispatcher left, after a record or a
+      list of hosts has been read. */
+  void FindUnled(const ClusterState& aState);
+  void ClaimIfUnled(TimePoint aNow,
+                    const ClusterState& aState,
+                    const GroupId& aGroup,
+                    Actions& aActions);
   void NoteAuthority(TimePoint aNow, Actions& aActions);
   [[nodiscard]] Millis StaggerOf(const ClusterState& aState,
                                  const std::string& aRegion,
@@ -143,9 +157,11 @@
   std::map<GroupId, Role> m_roles;
   std::map<std::int64_t, SentHeartbeat> m_sent;
   std::set<HostId> m_pings;
-  std::set<GroupId> m_needed;
-  Offset m_neededAt = 0;
-  std::map<GroupId, TimePoint> m_unledSince;
+  /** Groups that may have no dispatcher left, with the time since which all
+      their daemons have been silent. */
+  std::map<GroupId, std::optional<TimePoint>> m_unled;
+  Offset m_unledAt = 0;
+  bool m_listChanged = false;
   std::map<std::string, TimePoint> m_listedGone;
   std::vector<ListedHost> m_listed;
   TimePoint m_lastTick{};
--- a/src/sapphirehook/peer/connection.hpp
+++ b/src/sapphirehook/peer/connection.hpp
@@ -50,6 +50,10 @@
 
   [[nodiscard]] std::uint64_t Id() const noexcept { return m_id; }
   [[nodiscard]] int Socket() const noexcept { return m_socket; }
+
+  /** Readiness that the thread waits for at present. */
+  std::uint32_t m_watched = 0;
+
   [[nodiscard]] const std::string& Address() const noexcept
   {
     return m_address;
--- a/src/sapphirehook/peer/mesh.cpp
+++ b/src/sapphirehook/peer/mesh.cpp
@@ -192,6 +192,10 @@
   epoll_event event{};
   event.events = aConnection.WantsWrite() ? EPOLLIN | EPOLLOUT : EPOLLIN;
   event.data.u64 = id;
+  if (event.events == aConnection.m_watched) {
+    return;
+  }
+  aConnection.m_watched = event.events;
   epoll_ctl(m_epoll, EPOLL_CTL_MOD, aConnection.Socket(), &event);
 }
 
