Queues: 4,096 partitions, and the tail of the service time while crowded

Change: 4,096 partitions by default; while more requests wait than there are slots, a waiter needs the mean and 4 mean deviations.

--- a/src/sapphirehook/dispatch/endpoint_queue.cpp
+++ b/src/sapphirehook/dispatch/endpoint_queue.cpp
@@ -9,6 +9,9 @@
 /** Share of a new observation in a mean, as a power of two. */
 constexpr int kMeanShift = 3;
 
+/** Deviations above the mean within which nearly every request is done. */
+constexpr int kTailDeviations = 4;
+
 template<typename Waiters>
 bool
 EraseWaiter(Waiters& aWaiters, std::uint64_t aId)
@@ -20,10 +23,23 @@
 
 } // namespace
 
+void
+ServiceEstimate::Observe(std::chrono::nanoseconds aServed) noexcept
+{
+  if (m_mean == std::chrono::nanoseconds{}) {
+    m_mean = aServed;
+    m_deviation = aServed / 2;
+    return;
+  }
+  const auto distance = std::chrono::abs(aServed - m_mean);
+  m_deviation += (distance - m_deviation) / (1 << kMeanShift);
+  m_mean += (aServed - m_mean) / (1 << kMeanShift);
+}
+
 std::chrono::nanoseconds
-EndpointQueue::ServiceOf(bool aLong) const noexcept
+ServiceEstimate::Tail() const noexcept
 {
-  return aLong ? m_longService : m_shortService;
+  return m_mean + kTailDeviations * m_deviation;
 }
 
 std::size_t
@@ -39,7 +55,8 @@
 EndpointQueue::Offer(TimePoint aNow, const QueuedRequest& aRequest)
 {
   std::vector<std::uint64_t> refused;
-  if (aNow + ServiceOf(aRequest.m_long) > aRequest.m_deadline) {
+  const auto& estimate = aRequest.m_long ? m_longService : m_shortService;
+  if (aNow + estimate.m_mean > aRequest.m_deadline) {
     refused.push_back(aRequest.m_id);
     return refused;
   }
@@ -52,19 +69,29 @@
   return refused;
 }
 
+void
+EndpointQueue::ExpireFrom(TimePoint aNow,
+                          std::set<Waiter>& aWaiters,
+                          const ServiceEstimate& aEstimate,
+                          std::vector<std::uint64_t>& aExpired) const
+{
+  while (!aWaiters.empty()) {
+    const bool crowded = aWaiters.size() > m_config.m_slots;
+    const auto need = crowded ? aEstimate.Tail() : aEstimate.m_mean;
+    if (aWaiters.begin()->m_deadline >= aNow + need) {
+      return;
+    }
+    aExpired.push_back(aWaiters.begin()->m_id);
+    aWaiters.erase(aWaiters.begin());
+  }
+}
+
 std::vector<std::uint64_t>
 EndpointQueue::Expire(TimePoint aNow)
 {
   std::vector<std::uint64_t> expired;
-  const auto expire = [&](std::set<Waiter>& aWaiters, bool aLong) {
-    const auto limit = aNow + ServiceOf(aLong);
-    while (!aWaiters.empty() && aWaiters.begin()->m_deadline < limit) {
-      expired.push_back(aWaiters.begin()->m_id);
-      aWaiters.erase(aWaiters.begin());
-    }
-  };
-  expire(m_short, false);
-  expire(m_long, true);
+  ExpireFrom(aNow, m_short, m_shortService, expired);
+  ExpireFrom(aNow, m_long, m_longService, expired);
   return expired;
 }
 
@@ -134,9 +161,7 @@
   if (!aServed) {
     return;
   }
-  auto& mean = isLong ? m_longService : m_shortService;
-  const bool first = mean == std::chrono::nanoseconds{};
-  mean = first ? *aServed : mean + (*aServed - mean) / (1 << kMeanShift);
+  (isLong ? m_longService : m_shortService).Observe(*aServed);
   if (m_openSlots < m_config.m_slots) {
     ++m_openSlots;
   }
--- a/src/sapphirehook/dispatch/endpoint_queue.hpp
+++ b/src/sapphirehook/dispatch/endpoint_queue.hpp
@@ -38,6 +38,20 @@
   TimePoint m_deadline{};
 };
 
+/** Running estimate of how long an endpoint works on a request. */
+struct ServiceEstimate
+{
+  std::chrono::nanoseconds m_mean{};
+  /** Mean distance of an observation from the mean. */
+  std::chrono::nanoseconds m_deviation{};
+
+  /** Takes an observation in. */
+  void Observe(std::chrono::nanoseconds aServed) noexcept;
+
+  /** Returns a time within which nearly every request is done. */
+  [[nodiscard]] std::chrono::nanoseconds Tail() const noexcept;
+};
+
 /** Waiting and running requests of one endpoint, with an exact count of its
     slots. Short requests go before long ones and the earliest deadline goes
     first among equals; what can no longer meet its deadline is not sent. */
@@ -55,8 +69,10 @@
   [[nodiscard]] std::vector<std::uint64_t> Offer(TimePoint aNow,
                                                  const QueuedRequest& aRequest);
 
-  /** Removes and returns the requests that can no longer be answered in
-      time. */
+  /** Removes and returns the requests that can no longer be answered in time.
+      While more wait than the endpoint has slots, a request must have the
+      time in which nearly every request is done, since a late answer would
+      cost another its slot. */
   [[nodiscard]] std::vector<std::uint64_t> Expire(TimePoint aNow);
 
   /** Takes the next request that may be sent, and counts it as running.
@@ -95,7 +111,7 @@
   /** Returns the mean time for which the endpoint works on a short request. */
   [[nodiscard]] std::chrono::nanoseconds ShortService() const noexcept
   {
-    return m_shortService;
+    return m_shortService.m_mean;
   }
 
 private:
@@ -106,7 +122,10 @@
     auto operator<=>(const Waiter&) const = default;
   };
 
-  [[nodiscard]] std::chrono::nanoseconds ServiceOf(bool aLong) const noexcept;
+  void ExpireFrom(TimePoint aNow,
+                  std::set<Waiter>& aWaiters,
+                  const ServiceEstimate& aEstimate,
+                  std::vector<std::uint64_t>& aExpired) const;
   [[nodiscard]] std::size_t RunningLong() const noexcept;
   [[nodiscard]] bool LongMayRun(TimePoint aNow, std::size_t aOccupied) const;
   void NoteShortPeak(TimePoint aNow);
@@ -118,8 +137,8 @@
   std::set<Waiter> m_long;
   /** Running requests; true for long ones. */
   std::map<std::uint64_t, bool> m_running;
-  std::chrono::nanoseconds m_shortService{};
-  std::chrono::nanoseconds m_longService{};
+  ServiceEstimate m_shortService;
+  ServiceEstimate m_longService;
   std::size_t m_shortPeak = 0;
   TimePoint m_peakSince{};
 };
--- a/src/sapphirehook/operator/ticket.cpp
+++ b/src/sapphirehook/operator/ticket.cpp
@@ -10,7 +10,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::uint32_t kDefaultPartitions = 1024;
 constexpr std::uint32_t kMaxPartitions = 65536;
 constexpr std::uint32_t kDefaultDeadlineMs = 5000;
 constexpr std::uint32_t kMaxDeadlineMs = 3'600'000;
--- a/src/sapphirehook/operator/ticket.hpp
+++ b/src/sapphirehook/operator/ticket.hpp
@@ -12,6 +12,9 @@
 
 namespace sapphirehook {
 
+/** Partitions of a service whose ticket does not say. */
+inline constexpr std::uint32_t kDefaultPartitions = 4096;
+
 /** Where a service finds the key of a request: a header, or a segment of the
     path counted from zero when no header is named. */
 struct KeySource
--- a/test/sapphirehook/dispatch/endpoint_queue.cpp
+++ b/test/sapphirehook/dispatch/endpoint_queue.cpp
@@ -37,13 +37,24 @@
   std::vector<std::uint64_t> Expire(TimePoint aNow)
   {
     std::vector<std::uint64_t> expired;
-    std::erase_if(m_waiting, [&](const QueuedRequest& aWaiter) {
-      const bool late = aWaiter.m_deadline < aNow + Service(aWaiter.m_long);
-      if (late) {
-        expired.push_back(aWaiter.m_id);
+    for (const bool isLong : { false, true }) {
+      const auto& service = isLong ? m_longService : m_shortService;
+      for (auto first = First(isLong); first < m_waiting.size();
+           first = First(isLong)) {
+        const auto alike = std::count_if(
+          m_waiting.begin(), m_waiting.end(), [&](const auto& aWaiter) {
+            return aWaiter.m_long == isLong;
+          });
+        auto limit = aNow + service.m_mean;
+        if (alike > static_cast<std::ptrdiff_t>(kSlots)) {
+          limit += 4 * service.m_deviation;
+        }
+        if (m_waiting[first].m_deadline >= limit) {
+          break;
+        }
+        expired.push_back(Take(first).m_id);
       }
-      return late;
-    });
+    }
     return expired;
   }
 
@@ -80,9 +91,15 @@
       m_running.begin(), m_running.end(), [&](const QueuedRequest& aRunner) {
         return aRunner.m_id == aId;
       });
-    auto& mean = found->m_long ? m_longService : m_shortService;
+    auto& service = found->m_long ? m_longService : m_shortService;
     const std::chrono::nanoseconds served = aServed;
-    mean = mean.count() == 0 ? served : mean + (served - mean) / 8;
+    if (service.m_mean.count() == 0) {
+      service = { served, served / 2 };
+    } else {
+      const auto distance = std::chrono::abs(served - service.m_mean);
+      service.m_deviation += (distance - service.m_deviation) / 8;
+      service.m_mean += (served - service.m_mean) / 8;
+    }
     m_running.erase(found);
   }
 
@@ -94,7 +111,7 @@
 private:
   [[nodiscard]] std::chrono::nanoseconds Service(bool aLong) const
   {
-    return aLong ? m_longService : m_shortService;
+    return aLong ? m_longService.m_mean : m_shortService.m_mean;
   }
 
   [[nodiscard]] std::size_t RunningShort() const
@@ -136,8 +153,14 @@
 
   std::vector<QueuedRequest> m_waiting;
   std::vector<QueuedRequest> m_running;
-  std::chrono::nanoseconds m_shortService{};
-  std::chrono::nanoseconds m_longService{};
+  struct Service
+  {
+    std::chrono::nanoseconds m_mean{};
+    std::chrono::nanoseconds m_deviation{};
+  };
+
+  Service m_shortService;
+  Service m_longService;
   std::size_t m_peak = 0;
   TimePoint m_peakSince{};
 };
