--- a/src/sapphirehook/caller/server.cpp
+++ b/src/sapphirehook/caller/server.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::size_t kBlockBytes = 32768;
-constexpr Millis kWatchEvery{ 100 };
+constexpr Millis kWatchEvery{ 200 };
 
 std::string
 ErrorBody(ErrorKind aKind)
--- a/src/sapphirehook/daemon/decision_loop.cpp
+++ b/src/sapphirehook/daemon/decision_loop.cpp
@@ -47,7 +47,7 @@
 }
 
 std::string
-DecisionLoop::Ask(QueryPtr aQuery)
+DecisionLoop::Ask(const QueryPtr& aQuery)
 {
   auto answer = aQuery->m_answer.get_future();
   {
--- a/src/sapphirehook/daemon/decision_loop.hpp
+++ b/src/sapphirehook/daemon/decision_loop.hpp
@@ -56,7 +56,7 @@
 
   /** Asks the decision thread; returns an empty text when it does not answer
       within a second. Callable from any thread. */
-  [[nodiscard]] std::string Ask(QueryPtr aQuery);
+  [[nodiscard]] std::string Ask(const QueryPtr& aQuery);
 
   [[nodiscard]] Ring<ExchangePtr>& Callers() noexcept { return m_callers; }
   [[nodiscard]] Ring<EndpointEvent>& Endpoints() noexcept
--- a/src/sapphirehook/daemon/settings.cpp
+++ b/src/sapphirehook/daemon/settings.cpp
@@ -251,7 +251,7 @@
     }
     for (const auto& entry : aNode) {
       const auto name = entry.first.Scalar();
-      Collect(entry.second, aPath.empty() ? name : aPath + "." + name);
+      Collect(entry.second, aPath.empty() ? name : Concat(aPath, ".", name));
     }
   }
 
--- a/src/sapphirehook/endpoint/client.cpp
+++ b/src/sapphirehook/endpoint/client.cpp
@@ -586,7 +586,7 @@
 void
 EndpointClient::Run()
 {
-  constexpr int kIdleMs = 100;
+  constexpr int kIdleMs = 1000;
   while (!m_worker.IsStopping()) {
     TakeCommands();
     TakeResumes();
--- a/src/sapphirehook/operator/ticket.cpp
+++ b/src/sapphirehook/operator/ticket.cpp
@@ -282,7 +282,7 @@
   EndpointConfig endpoint;
   endpoint.m_service = reader.Text("service", true);
   endpoint.m_address = reader.Text("address", true);
-  if (endpoint.m_address.find(":") == std::string::npos) {
+  if (endpoint.m_address.find(':') == std::string::npos) {
     reader.Fault("address", "must be an IP number and a port");
   }
   endpoint.m_region = reader.Text("region", true);
--- a/src/sapphirehook/ownership/endpoint_lease.cpp
+++ b/src/sapphirehook/ownership/endpoint_lease.cpp
@@ -14,7 +14,7 @@
 std::optional<LeaseCall>
 EndpointLease::NextCall(TimePoint aNow)
 {
-  if (m_givenUp || m_underWay != 0 || aNow < m_nextDue) {
+  if (m_underWay != 0 || aNow < m_nextDue) {
     return std::nullopt;
   }
   if (m_firstCall == TimePoint{}) {
@@ -105,7 +105,7 @@
 TimePoint
 EndpointLease::UsableUntil() const noexcept
 {
-  return m_givenUp ? TimePoint{} : m_usableUntil;
+  return m_usableUntil;
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/ownership/endpoint_lease.hpp
+++ b/src/sapphirehook/ownership/endpoint_lease.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/core/ids.hpp"
 #include "sapphirehook/core/time.hpp"
 
+#include <concepts>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,13 +22,22 @@
   std::chrono::nanoseconds m_suspectAfter{};
 };
 
-/** The safety rules of endpoint leases; see AuthorityRules. */
+/** The safety rule of endpoint leases; see AuthorityRules. */
 struct LeaseRules
 {
   /** Partitions of a silent endpoint wait until its lease has run out. */
   static constexpr bool kWaitForLease = true;
 };
 
+/** Any set of lease rules. */
+template<typename Rules>
+concept LeaseRuleSet = requires
+{
+  {
+    Rules::kWaitForLease
+    } -> std::convertible_to<bool>;
+};
+
 /** A call to an endpoint that renews its lease, or asks for its clock. */
 struct LeaseCall
 {
@@ -90,12 +100,6 @@
     return m_answeringSince;
   }
 
-  /** Stops renewing for good; a new object starts over. */
-  void GiveUp() noexcept { m_givenUp = true; }
-
-  /** Returns whether renewing has stopped for good. */
-  [[nodiscard]] bool HasGivenUp() const noexcept { return m_givenUp; }
-
   /** Returns whether the endpoint has not answered for too long. */
   [[nodiscard]] bool IsSuspect(TimePoint aNow) const noexcept;
 
@@ -108,8 +112,13 @@
   /** Returns up to when the endpoint surely holds its token. */
   [[nodiscard]] TimePoint UsableUntil() const noexcept;
 
-  /** Returns when the endpoint surely holds no lease any more. */
-  [[nodiscard]] TimePoint EndsBy() const noexcept { return m_endsBy; }
+  /** Returns whether the endpoint surely holds no lease any more, whatever
+      call is still on its way. */
+  template<LeaseRuleSet Rules = LeaseRules>
+  [[nodiscard]] bool HasEnded(TimePoint aNow) const noexcept
+  {
+    return !Rules::kWaitForLease || aNow >= m_endsBy;
+  }
 
   /** Returns the newest token that the endpoint has accepted. */
   [[nodiscard]] const Token& HeldToken() const noexcept { return m_heldToken; }
@@ -138,7 +147,6 @@
   TimePoint m_answeringSince{};
   bool m_probeOnly = false;
   bool m_accepted = false;
-  bool m_givenUp = false;
   LeaseAnswer m_lastAnswer;
 };
 
--- a/src/sapphirehook/ownership/endpoint_manager.cpp
+++ b/src/sapphirehook/ownership/endpoint_manager.cpp
@@ -250,20 +250,22 @@
   }
 }
 
-TimePoint
-EndpointManager::HoldsNothingBy(const std::string& aName, const Led& aLed) const
+bool
+EndpointManager::HoldsNothing(TimePoint aNow,
+                              const std::string& aName,
+                              const Led& aLed) const
 {
   if (aLed.m_checksGrants) {
-    return aLed.m_lease.EndsBy();
+    return aLed.m_lease.HasEnded(aNow);
   }
-  TimePoint latest = aLed.m_foreignUntil;
   const auto running = m_running.find(aName);
-  if (running != m_running.end()) {
-    for (const auto& [id, request] : running->second) {
-      latest = std::max(latest, request.m_deadline);
-    }
-  }
-  return latest;
+  const bool ownEnded = running == m_running.end() ||
+                        std::all_of(running->second.begin(),
+                                    running->second.end(),
+                                    [aNow](const auto& aEntry) {
+                                      return aNow >= aEntry.second.m_deadline;
+                                    });
+  return ownEnded && aNow >= aLed.m_foreignUntil;
 }
 
 void
@@ -276,7 +278,7 @@
   const bool suspect = aLed.m_lease.IsSuspect(aNow);
   const bool lost = m_givenUp.contains(aName);
   aLed.m_lease.SetProbeOnly(suspect || lost);
-  if (suspect && !lost && aNow >= HoldsNothingBy(aName, aLed)) {
+  if (suspect && !lost && HoldsNothing(aNow, aName, aLed)) {
     aChanges.m_down.push_back(aName);
     return;
   }
--- a/src/sapphirehook/ownership/endpoint_manager.hpp
+++ b/src/sapphirehook/ownership/endpoint_manager.hpp
@@ -148,8 +148,9 @@
   void AppendChanges(const GroupId& aGroup,
                      Changes aChanges,
                      Actions& aActions);
-  [[nodiscard]] TimePoint HoldsNothingBy(const std::string& aName,
-                                         const Led& aLed) const;
+  [[nodiscard]] bool HoldsNothing(TimePoint aNow,
+                                  const std::string& aName,
+                                  const Led& aLed) const;
   void CollectRelease(TimePoint aNow,
                       const ClusterState& aState,
                       const Directory& aDirectory,
--- a/src/sapphirehook/ownership/group_manager.cpp
+++ b/src/sapphirehook/ownership/group_manager.cpp
@@ -11,6 +11,10 @@
 constexpr std::size_t kStandbys = 2;
 constexpr std::size_t kPingedCandidates = 4;
 constexpr Millis kScanEvery{ 200 };
+
+/** Heartbeat rounds for each question to any other member. */
+constexpr std::uint64_t kGossipRounds = 4;
+
 constexpr Millis kHandoverEvery{ 100 };
 constexpr Millis kRebalanceEvery{ 1000 };
 constexpr Millis kSecondClaimDelay{ 40 };
@@ -272,8 +276,8 @@
     requests[host];
   }
   m_pings.clear();
-  if (!aState.m_members.empty()) {
-    // One member of each round spreads offsets beyond the groups.
+  if (!aState.m_members.empty() && m_round % kGossipRounds == 0) {
+    // One member now and then spreads offsets beyond the groups.
     auto any = aState.m_members.begin();
     const auto pick = MixHashes(StableHash(m_config.m_self.m_host), m_round);
     std::advance(any, pick % aState.m_members.size());
--- a/src/sapphirehook/ownership/state.cpp
+++ b/src/sapphirehook/ownership/state.cpp
@@ -263,17 +263,17 @@
       Offset /*aOffset*/,
       const EndpointsDownRecord& aDown)
 {
-  const auto status = ChangeEndpoints(aState,
-                                      aDown.m_group,
-                                      aDown.m_term,
-                                      aDown.m_endpoints,
-                                      [](EndpointState& aEndpoint) {
-                                        const bool wasUp = aEndpoint.m_up;
-                                        aEndpoint.m_up = false;
-                                        aEndpoint.m_draining = false;
-                                        aEndpoint.m_kept.clear();
-                                        return wasUp;
-                                      });
+  auto status = ChangeEndpoints(aState,
+                                aDown.m_group,
+                                aDown.m_term,
+                                aDown.m_endpoints,
+                                [](EndpointState& aEndpoint) {
+                                  const bool wasUp = aEndpoint.m_up;
+                                  aEndpoint.m_up = false;
+                                  aEndpoint.m_draining = false;
+                                  aEndpoint.m_kept.clear();
+                                  return wasUp;
+                                });
   CollectLeaving(aState);
   return status;
 }
@@ -560,8 +560,7 @@
   if (known != nullptr && known->m_contentHash == outcome.m_contentHash) {
     return Ignored("the same ticket is in force");
   }
-  const auto status =
-    ticket.ok() ? DecideTicket(aState, *ticket) : ticket.status();
+  auto status = ticket.ok() ? DecideTicket(aState, *ticket) : ticket.status();
   outcome.m_accepted = status.ok();
   outcome.m_reason = std::string(status.message());
   aState.m_tickets.push_back(std::move(outcome));
--- a/src/sapphirehook/peer/mesh.cpp
+++ b/src/sapphirehook/peer/mesh.cpp
@@ -277,7 +277,7 @@
 PeerMesh::Run()
 {
   constexpr int kMaxEvents = 64;
-  constexpr int kTimerMs = 50;
+  constexpr int kTimerMs = 100;
   std::array<epoll_event, kMaxEvents> events{};
   auto nextTimer = BootClock::now();
   while (!m_worker.IsStopping()) {
--- a/test/sapphirehook/dispatch/endpoint_queue.cpp
+++ b/test/sapphirehook/dispatch/endpoint_queue.cpp
@@ -17,6 +17,12 @@
 constexpr std::size_t kMaxWaiting = 12;
 constexpr milliseconds kPeakMemory{ 100 };
 
+struct ServiceTime
+{
+  std::chrono::nanoseconds m_mean{};
+  std::chrono::nanoseconds m_deviation{};
+};
+
 /** The same rules by a sorted list and full scans. */
 class NaiveQueue
 {
@@ -153,14 +159,8 @@
 
   std::vector<QueuedRequest> m_waiting;
   std::vector<QueuedRequest> m_running;
-  struct Service
-  {
-    std::chrono::nanoseconds m_mean{};
-    std::chrono::nanoseconds m_deviation{};
-  };
-
-  Service m_shortService;
-  Service m_longService;
+  ServiceTime m_shortService;
+  ServiceTime m_longService;
   std::size_t m_peak = 0;
   TimePoint m_peakSince{};
 };
--- a/test/sapphirehook/parsers.cpp
+++ b/test/sapphirehook/parsers.cpp
@@ -93,26 +93,22 @@
   CheckParser("message", message, [](const std::string& aText) {
     return DecodeMessage(aText).ok();
   });
-  CheckParser("log",
-              R"({"first":0,"next":1,"records":[{"offset":0,"data":"YQ=="}]})",
-              [](const std::string& aText) {
-                return ParseLogBatch(aText).ok();
-              });
-  CheckParser("hosts",
-              R"({"hosts":[{"host":"h1","state":"gone"}]})",
-              [](const std::string& aText) {
-                return ParseHostList(aText).ok();
-              });
-  CheckParser("lease",
-              R"({"boot":"b","clock_ms":1,"accepted":true,"running":[1]})",
-              [](const std::string& aText) {
-                return ParseLeaseAnswer(aText).ok();
-              });
-  CheckParser("timeline",
-              EncodeTimeline({ TimelineEvent{} }),
-              [](const std::string& aText) {
-                return ParseTimeline(aText).ok();
-              });
+  CheckParser(
+    "log",
+    R"({"first":0,"next":1,"records":[{"offset":0,"data":"YQ=="}]})",
+    [](const std::string& aText) { return ParseLogBatch(aText).ok(); });
+  CheckParser(
+    "hosts",
+    R"({"hosts":[{"host":"h1","state":"gone"}]})",
+    [](const std::string& aText) { return ParseHostList(aText).ok(); });
+  CheckParser(
+    "lease",
+    R"({"boot":"b","clock_ms":1,"accepted":true,"running":[1]})",
+    [](const std::string& aText) { return ParseLeaseAnswer(aText).ok(); });
+  CheckParser(
+    "timeline",
+    EncodeTimeline({ TimelineEvent{} }),
+    [](const std::string& aText) { return ParseTimeline(aText).ok(); });
 }
 
 TEST_CASE("every fault of the settings is named with its line", "[parser]")
