--- a/src/sapphirehook/daemon/request_router.cpp
+++ b/src/sapphirehook/daemon/request_router.cpp
@@ -192,7 +192,7 @@
                           const RouteDecision& aDecision)
 {
   const auto exchange = aPending.m_exchange;
-  auto& lane = LaneFor(aDecision.m_endpoint);
+  auto& lane = LaneFor(aNow, aDecision.m_endpoint);
   const bool ready =
     !aDecision.m_refusal && lane.m_usable &&
     m_coordinator.Holds(aDecision.m_endpoint, aDecision.m_partition);
@@ -246,7 +246,7 @@
 }
 
 RequestRouter::Lane&
-RequestRouter::LaneFor(const std::string& aEndpoint)
+RequestRouter::LaneFor(TimePoint aNow, const std::string& aEndpoint)
 {
   const auto found = m_lanes.find(aEndpoint);
   if (found != m_lanes.end()) {
@@ -266,7 +266,9 @@
     lane.m_queue = EndpointQueue(config);
     lane.m_address = endpoint->second.m_config.m_address;
   }
-  return m_lanes.emplace(aEndpoint, std::move(lane)).first->second;
+  auto& made = m_lanes.emplace(aEndpoint, std::move(lane)).first->second;
+  RefreshLane(aNow, aEndpoint, made);
+  return made;
 }
 
 void
@@ -322,7 +324,7 @@
     aEnded.m_error && AnswerFor(*aEnded.m_error).m_ran == Ran::No;
   m_coordinator.OnRequestEnded(
     aEnded.m_endpoint, id, !aEnded.m_error || ranNothing);
-  auto& lane = LaneFor(aEnded.m_endpoint);
+  auto& lane = LaneFor(aNow, aEnded.m_endpoint);
   lane.m_queue.OnEnded(
     aNow, id, aEnded.m_error ? std::nullopt : std::optional(aEnded.m_served));
   if (aEnded.m_error == ErrorKind::EndpointRefused) {
@@ -420,6 +422,21 @@
   exchange->Fail(kind);
 }
 
+void
+RequestRouter::RefreshLane(TimePoint aNow,
+                           const std::string& aEndpoint,
+                           Lane& aLane)
+{
+  const auto standing = m_coordinator.StandingOf(aEndpoint);
+  aLane.m_authority->m_until.store(
+    standing.m_usableUntil.time_since_epoch().count());
+  const bool usable = aNow < standing.m_usableUntil;
+  if (usable && !aLane.m_usable) {
+    aLane.m_queue.StartCold();
+  }
+  aLane.m_usable = usable;
+}
+
 void
 RequestRouter::RefreshLanes(TimePoint aNow)
 {
@@ -429,14 +446,7 @@
            queue.Running() + queue.Waiting() == 0;
   });
   for (auto& [name, lane] : m_lanes) {
-    const auto standing = m_coordinator.StandingOf(name);
-    lane.m_authority->m_until.store(
-      standing.m_usableUntil.time_since_epoch().count());
-    const bool usable = aNow < standing.m_usableUntil;
-    if (usable && !lane.m_usable) {
-      lane.m_queue.StartCold();
-    }
-    lane.m_usable = usable;
+    RefreshLane(aNow, name, lane);
     for (const auto id : lane.m_queue.Expire(aNow)) {
       Fail(aNow, id, ErrorKind::DeadlineExceeded);
     }
--- a/src/sapphirehook/daemon/request_router.hpp
+++ b/src/sapphirehook/daemon/request_router.hpp
@@ -92,7 +92,8 @@
   [[nodiscard]] bool AdmitRepeat(TimePoint aNow,
                                  Exchange& aExchange,
                                  const GroupId& aGroup);
-  Lane& LaneFor(const std::string& aEndpoint);
+  Lane& LaneFor(TimePoint aNow, const std::string& aEndpoint);
+  void RefreshLane(TimePoint aNow, const std::string& aEndpoint, Lane& aLane);
   void Pump(TimePoint aNow, const std::string& aEndpoint, Lane& aLane);
   void Send(TimePoint aNow, Pending& aPending, Lane& aLane);
   void RefreshLanes(TimePoint aNow);
--- a/src/sapphirehook/peer/connection.cpp
+++ b/src/sapphirehook/peer/connection.cpp
@@ -1,6 +1,7 @@
 #include "sapphirehook/peer/connection.hpp"
 
 #include "sapphirehook/core/text.hpp"
+#include "sapphirehook/peer/header_block.hpp"
 
 #include <algorithm>
 #include <array>
@@ -28,54 +29,6 @@
 constexpr Millis kSilenceLimit{ 1000 };
 constexpr int kMessageStatus = 200;
 
-nghttp2_nv
-MakeHeader(std::string_view aName, std::string_view aValue)
-{
-  // nghttp2 copies both texts unless told otherwise.
-  auto* name = const_cast<std::uint8_t*>(
-    reinterpret_cast<const std::uint8_t*>(aName.data()));
-  auto* value = const_cast<std::uint8_t*>(
-    reinterpret_cast<const std::uint8_t*>(aValue.data()));
-  return { name, value, aName.size(), aValue.size(), NGHTTP2_NV_FLAG_NONE };
-}
-
-/** Headers in the form that nghttp2 takes, with the texts that they name. */
-class HeaderBlock
-{
-public:
-  void Add(std::string aName, std::string aValue)
-  {
-    std::transform(
-      aName.begin(), aName.end(), aName.begin(), [](unsigned char aLetter) {
-        return static_cast<char>(std::tolower(aLetter));
-      });
-    m_texts.push_back({ std::move(aName), std::move(aValue) });
-  }
-
-  void AddAll(const std::vector<Header>& aHeaders)
-  {
-    for (const auto& header : aHeaders) {
-      if (!IsHopHeader(header.m_name)) {
-        // The prefix keeps names that HTTP/2 reserves, such as host, apart.
-        Add("x-" + header.m_name, header.m_value);
-      }
-    }
-  }
-
-  [[nodiscard]] std::vector<nghttp2_nv> View() const
-  {
-    std::vector<nghttp2_nv> view;
-    view.reserve(m_texts.size());
-    for (const auto& text : m_texts) {
-      view.push_back(MakeHeader(text.m_name, text.m_value));
-    }
-    return view;
-  }
-
-private:
-  std::vector<Header> m_texts;
-};
-
 std::optional<std::uint64_t>
 ParseNumber(const std::string& aText)
 {
@@ -95,21 +48,6 @@
   return value == nullptr ? std::nullopt : ParseNumber(*value);
 }
 
-/** Returns the passed-on headers without their prefix. */
-std::vector<Header>
-PassedOn(const std::vector<Header>& aHeaders)
-{
-  constexpr std::string_view kPrefix = "x-";
-  std::vector<Header> passed;
-  for (const auto& header : aHeaders) {
-    if (header.m_name.starts_with(kPrefix)) {
-      passed.push_back(
-        { header.m_name.substr(kPrefix.size()), header.m_value });
-    }
-  }
-  return passed;
-}
-
 } // namespace
 
 nghttp2_session_callbacks*
@@ -301,7 +239,7 @@
   if (head.m_bodySize) {
     headers.Add(std::string(kBodySizeHeader), std::to_string(*head.m_bodySize));
   }
-  headers.AddAll(head.m_headers);
+  headers.AddPassedOn(head.m_headers);
   const auto view = headers.View();
   nghttp2_data_provider provider{ {}, OnSource };
   const auto id = nghttp2_submit_request(m_session,
@@ -613,7 +551,7 @@
     headers.Add(std::string(kBodySizeHeader),
                 std::to_string(*response->m_bodySize));
   }
-  headers.AddAll(response->m_headers);
+  headers.AddPassedOn(response->m_headers);
   const auto view = headers.View();
   nghttp2_data_provider provider{ {}, OnSource };
   nghttp2_submit_response(
--- /dev/null
+++ b/src/sapphirehook/peer/header_block.cpp
@@ -0,0 +1,73 @@
+#include "sapphirehook/peer/header_block.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace sapphirehook::internal {
+
+namespace {
+
+constexpr std::string_view kPassedOnPrefix = "x-";
+
+nghttp2_nv
+MakeHeader(const Header& aHeader)
+{
+  // nghttp2 copies both texts unless told otherwise.
+  const auto bytes = [](const std::string& aText) {
+    return const_cast<std::uint8_t*>(
+      reinterpret_cast<const std::uint8_t*>(aText.data()));
+  };
+  return { bytes(aHeader.m_name),
+           bytes(aHeader.m_value),
+           aHeader.m_name.size(),
+           aHeader.m_value.size(),
+           NGHTTP2_NV_FLAG_NONE };
+}
+
+} // namespace
+
+void
+HeaderBlock::Add(std::string aName, std::string aValue)
+{
+  std::transform(
+    aName.begin(), aName.end(), aName.begin(), [](unsigned char aLetter) {
+      return static_cast<char>(std::tolower(aLetter));
+    });
+  m_texts.push_back({ std::move(aName), std::move(aValue) });
+}
+
+void
+HeaderBlock::AddPassedOn(const std::vector<Header>& aHeaders)
+{
+  for (const auto& header : aHeaders) {
+    if (!IsHopHeader(header.m_name)) {
+      Add(std::string(kPassedOnPrefix) + header.m_name, header.m_value);
+    }
+  }
+}
+
+std::vector<nghttp2_nv>
+HeaderBlock::View() const
+{
+  std::vector<nghttp2_nv> view;
+  view.reserve(m_texts.size());
+  for (const auto& text : m_texts) {
+    view.push_back(MakeHeader(text));
+  }
+  return view;
+}
+
+std::vector<Header>
+PassedOn(const std::vector<Header>& aHeaders)
+{
+  std::vector<Header> passed;
+  for (const auto& header : aHeaders) {
+    if (header.m_name.starts_with(kPassedOnPrefix)) {
+      passed.push_back(
+        { header.m_name.substr(kPassedOnPrefix.size()), header.m_value });
+    }
+  }
+  return passed;
+}
+
+} // namespace sapphirehook::internal
