--- a/benchmark/slopes.cpp
+++ b/benchmark/slopes.cpp
@@ -320,6 +320,7 @@
   std::vector<Point> cpu;
   std::vector<Point> lookup;
   std::vector<Point> update;
+  std::vector<Point> pin;
   for (const std::uint32_t partitions : { 4096U, 8192U, 16384U, 32768U }) {
     const auto layout = MakeLayout(100, partitions);
     const auto before = benchmark::LiveBytes();
@@ -336,6 +337,11 @@
     update.push_back({ x, MicrosecondsOf(2, [&](std::size_t) {
                          const sapphirehook::Placement next(fewer, placement);
                        }) });
+    auto pinned = layout;
+    pinned.m_pins["hot"] = "endpoint-1";
+    pin.push_back({ x, MicrosecondsOf(100, [&](std::size_t) {
+                      const sapphirehook::Placement next(pinned, placement);
+                    }) });
     std::vector<std::string> keys;
     for (int i = 0; i < 1000; ++i) {
       keys.push_back(Concat("customer-", i));
@@ -352,6 +358,7 @@
   return { Fit("placement_bytes", "B", "partition", memory),
            Fit("placement_cpu", "us", "partition and endpoint", cpu),
            Fit("placement_update_cpu", "us", "partition, one loss", update),
+           Fit("placement_pin_cpu", "us", "partition, one pin", pin),
            Fit("owner_lookup_cpu", "us", "partition", lookup) };
 }
 
--- a/src/sapphirehook/core/byte_pipe.cpp
+++ b/src/sapphirehook/core/byte_pipe.cpp
@@ -125,14 +125,6 @@
   return true;
 }
 
-void
-BytePipe::Commit()
-{
-  const std::lock_guard lock(m_mutex);
-  m_rewindable = false;
-  Trim();
-}
-
 std::size_t
 BytePipe::UnreadThen(std::function<void()> aResume)
 {
@@ -144,18 +136,4 @@
   return unread;
 }
 
-void
-BytePipe::WakeBoth()
-{
-  std::function<void()> wakeReader;
-  std::function<void()> wakeWriter;
-  {
-    const std::lock_guard lock(m_mutex);
-    wakeReader = std::exchange(m_readerResume, nullptr);
-    wakeWriter = std::exchange(m_writerResume, nullptr);
-  }
-  Call(wakeReader);
-  Call(wakeWriter);
-}
-
 } // namespace sapphirehook
--- a/src/sapphirehook/core/byte_pipe.hpp
+++ b/src/sapphirehook/core/byte_pipe.hpp
@@ -102,16 +102,10 @@
       bytes that were read are no longer held. */
   [[nodiscard]] bool Rewind();
 
-  /** Forgets bytes already read, so that they no longer use memory. */
-  void Commit();
-
   /** Returns how many bytes wait for the reader; when there are any, aResume
       is called once after the next read. */
   [[nodiscard]] std::size_t UnreadThen(std::function<void()> aResume);
 
-  /** Calls the resume functions of both sides, whatever the state. */
-  void WakeBoth();
-
 private:
   std::size_t Append(std::string_view aBytes);
   ReadResult Take(char* aBuffer, std::size_t aSize);
--- a/src/sapphirehook/daemon/decision_loop.cpp
+++ b/src/sapphirehook/daemon/decision_loop.cpp
@@ -201,9 +201,6 @@
       return RenderRoute(aNow, m_coordinator, aQuery.m_service, aQuery.m_key);
     case Query::Kind::Tickets:
       return RenderTickets(m_coordinator);
-    case Query::Kind::Pin:
-      m_coordinator.Pin(aQuery.m_service, aQuery.m_key, aQuery.m_endpoint);
-      return "{}";
   }
   return "{}";
 }
--- a/src/sapphirehook/daemon/decision_loop.hpp
+++ b/src/sapphirehook/daemon/decision_loop.hpp
@@ -18,13 +18,11 @@
     Status,
     Route,
     Tickets,
-    Pin,
   };
 
   Kind m_kind = Kind::Status;
   std::string m_service;
   std::string m_key;
-  std::string m_endpoint;
   std::promise<std::string> m_answer;
 };
 
--- a/src/sapphirehook/dispatch/endpoint_queue.hpp
+++ b/src/sapphirehook/dispatch/endpoint_queue.hpp
@@ -108,12 +108,6 @@
     return m_running.size();
   }
 
-  /** Returns the mean time for which the endpoint works on a short request. */
-  [[nodiscard]] std::chrono::nanoseconds ShortService() const noexcept
-  {
-    return m_shortService.m_mean;
-  }
-
 private:
   struct Waiter
   {
--- a/src/sapphirehook/operator/metrics.cpp
+++ b/src/sapphirehook/operator/metrics.cpp
@@ -36,13 +36,6 @@
   m_counters[aName] += aCount;
 }
 
-void
-Metrics::Set(const std::string& aName, double aValue)
-{
-  const std::lock_guard lock(m_mutex);
-  m_gauges[aName] = aValue;
-}
-
 void
 Metrics::CountError(ErrorKind aKind)
 {
@@ -134,9 +127,6 @@
   for (const auto& [name, count] : m_counters) {
     text += Concat("# TYPE ", name, " counter\n", name, " ", count, "\n");
   }
-  for (const auto& [name, value] : m_gauges) {
-    text += Concat("# TYPE ", name, " gauge\n", name, " ", value, "\n");
-  }
   text += "# TYPE sapphirehook_errors_total counter\n";
   for (const auto& answer : kErrorAnswers) {
     text += Concat("sapphirehook_errors_total{kind=\"",
--- a/src/sapphirehook/operator/metrics.hpp
+++ b/src/sapphirehook/operator/metrics.hpp
@@ -22,9 +22,6 @@
   /** Adds to the counter of a name. */
   void Add(const std::string& aName, std::uint64_t aCount = 1);
 
-  /** Sets the gauge of a name. */
-  void Set(const std::string& aName, double aValue);
-
   /** Counts an answer that is not the endpoint's own. */
   void CountError(ErrorKind aKind);
 
@@ -64,7 +61,6 @@
 
   mutable std::mutex m_mutex;
   std::map<std::string, std::uint64_t> m_counters;
-  std::map<std::string, double> m_gauges;
   std::array<std::uint64_t, kErrorKindCount> m_errors{};
   std::map<std::string, std::uint64_t> m_served;
   Distribution m_requests;
--- a/src/sapphirehook/ownership/coordinator.cpp
+++ b/src/sapphirehook/ownership/coordinator.cpp
@@ -455,17 +455,6 @@
   return m_endpoints.Holds(aEndpoint, PackPartition(aPartition));
 }
 
-void
-Coordinator::Pin(const std::string& aService,
-                 const std::string& aKey,
-                 const std::string& aEndpoint)
-{
-  m_appends->AppendOnce(
-    "pin " + aService,
-    PinRecord{ aService, m_directory.NewestLayout(aService), aKey, aEndpoint },
-    m_actions);
-}
-
 bool
 Coordinator::IsStale(TimePoint aNow) const
 {
--- a/src/sapphirehook/ownership/coordinator.hpp
+++ b/src/sapphirehook/ownership/coordinator.hpp
@@ -110,12 +110,6 @@
   [[nodiscard]] bool Holds(const std::string& aEndpoint,
                            PartitionId aPartition) const;
 
-  /** Asks for one key to be moved to an endpoint of its own; an empty name
-      ends that. */
-  void Pin(const std::string& aService,
-           const std::string& aKey,
-           const std::string& aEndpoint);
-
   /** Returns whether the state is too old to answer callers by. */
   [[nodiscard]] bool IsStale(TimePoint aNow) const;
 
--- a/src/sapphirehook/ownership/layout.cpp
+++ b/src/sapphirehook/ownership/layout.cpp
@@ -11,7 +11,7 @@
 {
   m_owners.reserve(m_layout.m_domains.size());
   for (const auto& domain : m_layout.m_domains) {
-    FillDomain(domain);
+    m_owners.push_back(std::make_shared<const Owners>(FillDomain(domain)));
   }
 }
 
@@ -26,18 +26,22 @@
       earlier.m_domains.begin(),
       earlier.m_domains.end(),
       [&](const auto& aOld) { return aOld.m_prefix == domain.m_prefix; });
-    if (comparable && found != earlier.m_domains.end()) {
-      const auto place =
-        static_cast<std::size_t>(found - earlier.m_domains.begin());
-      UpdateDomain(domain, *found, aEarlier.m_owners[place]);
-    } else {
-      FillDomain(domain);
+    if (!comparable || found == earlier.m_domains.end()) {
+      m_owners.push_back(std::make_shared<const Owners>(FillDomain(domain)));
+      continue;
     }
+    const auto place =
+      static_cast<std::size_t>(found - earlier.m_domains.begin());
+    const auto& owners = aEarlier.m_owners[place];
+    m_owners.push_back(domain == *found
+                         ? owners
+                         : std::make_shared<const Owners>(
+                             UpdateDomain(domain, *found, *owners)));
   }
 }
 
 void
-Placement::Offer(std::vector<Best>& aBest,
+Placement::Offer(Owners& aBest,
                  std::size_t aPartition,
                  std::uint64_t aDomainHash,
                  const std::vector<Candidate>& aCandidates)
@@ -57,8 +61,8 @@
   }
 }
 
-void
-Placement::FillDomain(const Domain& aDomain)
+Placement::Owners
+Placement::FillDomain(const Domain& aDomain) const
 {
   std::vector<Candidate> candidates;
   for (const auto& member : aDomain.m_members) {
@@ -67,16 +71,17 @@
                            member.m_weight });
   }
   const auto domainHash = StableHash(aDomain.m_prefix);
-  auto& owners = m_owners.emplace_back(m_layout.m_partitions);
+  Owners owners(m_layout.m_partitions);
   for (std::size_t i = 0; i < owners.size(); ++i) {
     Offer(owners, i, domainHash, candidates);
   }
+  return owners;
 }
 
-void
+Placement::Owners
 Placement::UpdateDomain(const Domain& aDomain,
                         const Domain& aEarlier,
-                        const std::vector<Best>& aEarlierBest)
+                        const Owners& aEarlierBest)
 {
   std::vector<Candidate> all;
   std::vector<Candidate> added;
@@ -100,7 +105,7 @@
     }
   }
   const auto domainHash = StableHash(aDomain.m_prefix);
-  auto& owners = m_owners.emplace_back(aEarlierBest);
+  auto owners = aEarlierBest;
   for (std::size_t i = 0; i < owners.size(); ++i) {
     auto& best = owners[i];
     const bool stays =
@@ -113,6 +118,7 @@
       Offer(owners, i, domainHash, all);
     }
   }
+  return owners;
 }
 
 PartitionId
@@ -139,7 +145,7 @@
   if (aPartition.m_domain >= m_owners.size()) {
     return nullptr;
   }
-  const auto& owners = m_owners[aPartition.m_domain];
+  const auto& owners = *m_owners[aPartition.m_domain];
   if (aPartition.m_number >= owners.size()) {
     return nullptr;
   }
--- a/src/sapphirehook/ownership/layout.hpp
+++ b/src/sapphirehook/ownership/layout.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -107,18 +108,22 @@
     double m_weight = 1;
   };
 
-  void FillDomain(const Domain& aDomain);
-  void UpdateDomain(const Domain& aDomain,
-                    const Domain& aEarlier,
-                    const std::vector<Best>& aEarlierBest);
-  static void Offer(std::vector<Best>& aBest,
+  /** Owners of one domain's partitions. */
+  using Owners = std::vector<Best>;
+
+  [[nodiscard]] Owners FillDomain(const Domain& aDomain) const;
+  [[nodiscard]] static Owners UpdateDomain(const Domain& aDomain,
+                                           const Domain& aEarlier,
+                                           const Owners& aEarlierBest);
+  static void Offer(Owners& aBest,
                     std::size_t aPartition,
                     std::uint64_t aDomainHash,
                     const std::vector<Candidate>& aCandidates);
 
   Layout m_layout;
-  /** The owner's place in the domain's members, for each partition. */
-  std::vector<std::vector<Best>> m_owners;
+  /** The owner's place in the domain's members, for each partition of each
+      domain; layouts share the owners of domains that they have in common. */
+  std::vector<std::shared_ptr<const Owners>> m_owners;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/ownership/state.cpp
+++ b/src/sapphirehook/ownership/state.cpp
@@ -1,9 +1,9 @@
 #include "sapphirehook/ownership/state.hpp"
 
 #include "sapphirehook/core/hash.hpp"
+#include "sapphirehook/core/text.hpp"
 #include "sapphirehook/ownership/layout_fold.hpp"
 #include "sapphirehook/ownership/ticket_fold.hpp"
-#include "sapphirehook/core/text.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/test/support/generate.cpp
+++ b/test/support/generate.cpp
@@ -123,7 +123,7 @@
            const ClusterState& aState,
            std::uint64_t aRound)
 {
-  switch (Draw(aRandom, 10)) {
+  switch (Draw(aRandom, 11)) {
     case 0:
       return JoinRecord{
         RandomHost(aRandom), "r1", "z1", Concat("127.0.0.1:", aRound)
@@ -160,7 +160,20 @@
                                       target.m_term,
                                       target.m_endpoints };
     }
-    case 7:
+    case 7: {
+      const auto service = Concat("s", Draw(aRandom, kServices));
+      const auto found = aState.m_services.find(service);
+      const bool laidOut =
+        found != aState.m_services.end() && !found->second.m_layouts.empty();
+      const auto version =
+        laidOut ? found->second.m_layouts.back().m_version : 0;
+      const bool ends = Draw(aRandom, 3) == 0;
+      return PinRecord{ service,
+                        version,
+                        Concat("k", Draw(aRandom, 40)),
+                        ends ? "" : EndpointName(Draw(aRandom, kEndpoints)) };
+    }
+    case 8:
       return TicketRecord{ aState.m_nextTicketOffset + Draw(aRandom, 3) / 2,
                            RandomTicket(aRandom, 1 + aRound / 4) };
     default:
