--- a/test/process/failures.cpp
+++ b/test/process/failures.cpp
@@ -357,3 +357,50 @@
   SleepMs(1000);
   CheckJudged(cluster, 3, load.Stop());
 }
+
+TEST_CASE("a daemon starts from a snapshot when the log has been trimmed",
+          "[process]")
+{
+  Cluster cluster({ 4, 3, 2, {}, "timing:\n  snapshot_ms: 500\n", false });
+  AwaitReady(cluster, 3);
+  const auto snapshotRead = [&] {
+    for (const auto& event : cluster.Page(0, "/timeline")) {
+      if (event.at("kind") == "snapshot") {
+        return true;
+      }
+    }
+    return false;
+  };
+  REQUIRE(Cluster::Await(snapshotRead));
+  cluster.StopDaemon(3);
+  long long offset = 0;
+  for (const auto& event : cluster.Page(0, "/timeline")) {
+    if (event.at("kind") == "snapshot") {
+      offset = event.at("offset").get<long long>();
+    }
+  }
+  // The snapshot holds the state before its own record.
+  cluster.ControlLog("/trim",
+                     { { "stream", "state" }, { "first", offset - 2 } });
+  cluster.StartDaemon(3);
+  CHECK_FALSE(cluster.AwaitServed(3, "k1").empty());
+  CHECK(Cluster::Await([&] {
+    return cluster.Page(3, "/tickets") == cluster.Page(0, "/tickets");
+  }));
+  bool fromSnapshot = false;
+  for (const auto& event : cluster.Page(3, "/timeline")) {
+    fromSnapshot = fromSnapshot || event.at("kind") == "snapshot-read";
+  }
+  CHECK(fromSnapshot);
+}
+
+TEST_CASE("a daemon starts from its peers while the log is down", "[process]")
+{
+  Cluster cluster({ 4, 3, 2, {}, "" });
+  AwaitReady(cluster, 3);
+  cluster.StopDaemon(3);
+  cluster.ControlLog("/faults", { { "down", true } });
+  cluster.StartDaemon(3);
+  CHECK_FALSE(cluster.AwaitServed(3, "k1").empty());
+  CHECK(cluster.Page(3, "/status").at("log_readable") == false);
+}
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -125,15 +125,16 @@
 Cluster::StartDaemon(std::size_t aIndex)
 {
   const auto path = Concat(m_directory, "/h", aIndex, ".yaml");
+  const auto seeds =
+    Concat("seeds: [", Address("peers", 0), ", ", Address("peers", 1), "]\n");
   std::ofstream(path) << "host: h" << aIndex << "\nregion: r1\nzone: z"
                       << aIndex % 3
                       << "\nlisten:\n  callers: " << Address("callers", aIndex)
                       << "\n  peers: " << Address("peers", aIndex)
                       << "\n  operators: " << Address("operators", aIndex)
                       << "\nlog:\n  url: http://" << Address("log", 0) << "/h"
-                      << aIndex << "\nseeds: [" << Address("peers", 0) << ", "
-                      << Address("peers", 1) << "]\n"
-                      << m_plan.m_settings;
+                      << aIndex << "\n"
+                      << (m_plan.m_seeds ? seeds : "") << m_plan.m_settings;
   m_daemons[aIndex] = std::make_unique<Process>(std::vector<std::string>{
     BinaryPath("sapphirehookd"), "--settings", path });
 }
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -46,6 +46,8 @@
   std::vector<std::string> m_endpointFlags;
   /** More lines for each daemon's settings. */
   std::string m_settings;
+  /** Daemons may ask each other while the log cannot be read. */
+  bool m_seeds = true;
 };
 
 /** Daemons, endpoints and a log service as processes on loopback, one cluster
