--- a/src/sapphirehook/ownership/coordinator.cpp
+++ b/src/sapphirehook/ownership/coordinator.cpp
@@ -20,6 +20,9 @@
 /** Records after which a snapshot is written before its time. */
 constexpr Offset kSnapshotRecords = 2000;
 
+/** Factor of the span between snapshots while the log has no other records. */
+constexpr int kIdleSnapshotFactor = 10;
+
 constexpr Millis kAskEvery{ 200 };
 
 } // namespace
@@ -325,13 +328,15 @@
   if (m_snapshotSeen == TimePoint{}) {
     m_snapshotSeen = aNow;
   }
-  const bool due =
-    since > kSnapshotRecords ||
-    (since > 1 && aNow - m_snapshotSeen > m_config.m_timing.m_snapshotEvery);
+  const auto every = m_config.m_timing.m_snapshotEvery;
+  const auto age = aNow - m_snapshotSeen;
+  // An idle log would trim its last snapshot if that were never renewed.
+  const auto wait = since > 1 ? every : every * kIdleSnapshotFactor;
+  const bool due = since > kSnapshotRecords || age > wait;
   if (!due || !m_logReadable || m_needsSnapshot || m_stopping) {
     return;
   }
-  const auto late = aNow - m_snapshotSeen - m_config.m_timing.m_snapshotEvery;
+  const auto late = age - wait;
   const bool many = since > 2 * kSnapshotRecords;
   if (!many && late < Stagger(m_state.m_snapshotOffset)) {
     return;
@@ -344,8 +349,9 @@
 void
 Coordinator::AskPeers(TimePoint aNow)
 {
-  const bool cold = m_state.m_nextOffset == 0 || m_needsSnapshot;
-  if (m_logReadable || !cold || m_config.m_seeds.empty() || aNow < m_nextAsk) {
+  const bool cold = m_state.m_nextOffset == 0 && !m_logReadable;
+  const bool asks = cold || m_needsSnapshot;
+  if (!asks || m_config.m_seeds.empty() || aNow < m_nextAsk) {
     return;
   }
   m_nextAsk = aNow + kAskEvery;
