Test of the frozen endpoint: count its requests, not pairs

Change: no fault but such overlaps is allowed, at most one request for each slot may overlap, and none may start during another's run, as before. Conclusion: as strict in each kind of fault, and the verdict no longer depends on speed.

--- a/test/process/failures.cpp
+++ b/test/process/failures.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <set>
 
 using support::Cluster;
 using support::ClusterPlan;
@@ -13,6 +14,7 @@
 
 constexpr std::size_t kKeys = 40;
 constexpr std::size_t kThreads = 6;
+constexpr std::size_t kSlots = 6;
 
 void
 SleepMs(int aSpan)
@@ -80,6 +82,33 @@
   return count;
 }
 
+/** Returns how many requests of an endpoint overlap with one of the same key
+    at another endpoint. */
+std::size_t
+OverlappingOthers(const Cluster& aCluster,
+                  std::size_t aEndpoints,
+                  std::size_t aSuspect)
+{
+  std::set<std::string> overlapping;
+  const auto own = aCluster.Records(aSuspect);
+  for (std::size_t i = 0; i < aEndpoints; ++i) {
+    if (i == aSuspect) {
+      continue;
+    }
+    for (const auto& other : aCluster.Records(i)) {
+      for (const auto& record : own) {
+        const bool overlaps = other.at("key") == record.at("key") &&
+                              other.at("start_ms") < record.at("end_ms") &&
+                              record.at("start_ms") < other.at("end_ms");
+        if (overlaps) {
+          overlapping.insert(record.at("id").get<std::string>());
+        }
+      }
+    }
+  }
+  return overlapping.size();
+}
+
 } // namespace
 
 TEST_CASE("a killed endpoint's keys are served by others", "[process]")
@@ -115,10 +144,13 @@
   endpoint.Signal(SIGCONT);
   SleepMs(1500);
   const auto result = load.Stop();
-  // What ran at the moment of the freeze ends after the return; no other
-  // request of the frozen endpoint may overlap.
-  const auto faults = JudgeRecords(cluster, 3, result);
-  CHECK(faults.size() <= 6 * kThreads);
+  // What ran at the moment of the freeze, one request a slot at most, ends
+  // after the return and overlaps with many; there may be no other fault.
+  for (const auto& fault : JudgeRecords(cluster, 3, result)) {
+    INFO(fault);
+    CHECK(fault.find(" ran at ") != std::string::npos);
+  }
+  CHECK(OverlappingOthers(cluster, 3, Cluster::IndexOf(owner)) <= kSlots);
   CHECK(StartedDuringOthers(cluster, 3, Cluster::IndexOf(owner)) == 0);
   CHECK(result.m_answered > 0);
 }
