Say once which groups may be unled, and from which layout owners come

Cause: reading the change again: the same condition over a group's three daemons stood twice, a kept partition list was walked twice, and three branches chose an earlier layout. Change: HoldsForAll, one walk, one choice; the silence is passed, not looked up. Conclusion: behaviour unchanged.

--- a/src/sapphirehook/ownership/directory.cpp
+++ b/src/sapphirehook/ownership/directory.cpp
@@ -51,8 +51,6 @@
     stamp = MixHashes(stamp, endpoint.m_up ? endpoint.m_ack + 1 : 0);
     for (const auto partition : endpoint.m_kept) {
       stamp = MixHashes(stamp, partition + 1);
-    }
-    for (const auto partition : endpoint.m_kept) {
       if (endpoint.m_up) {
         m_kept[endpoint.m_config.m_service].push_back({ name, partition });
       }
@@ -72,16 +70,14 @@
         placements.begin(), placements.end(), [&](const auto& aPlacement) {
           return aPlacement->Source().m_version == layout.m_version;
         });
+      const auto& earlier = renewed.empty() ? placements : renewed;
       if (known != placements.end()) {
         renewed.push_back(*known);
-      } else if (!renewed.empty()) {
-        renewed.push_back(
-          std::make_shared<const Placement>(layout, *renewed.back()));
-      } else if (!placements.empty()) {
-        renewed.push_back(
-          std::make_shared<const Placement>(layout, *placements.back()));
-      } else {
+      } else if (earlier.empty()) {
         renewed.push_back(std::make_shared<const Placement>(layout));
+      } else {
+        renewed.push_back(
+          std::make_shared<const Placement>(layout, *earlier.back()));
       }
     }
     placements = std::move(renewed);
--- a/src/sapphirehook/ownership/group_manager.cpp
+++ b/src/sapphirehook/ownership/group_manager.cpp
@@ -32,6 +32,16 @@
   return std::find(aHosts.begin(), aHosts.end(), aHost) != aHosts.end();
 }
 
+/** Returns whether a predicate holds for every daemon of a group. */
+template<typename Predicate>
+bool
+HoldsForAll(const Group& aGroup, Predicate aPredicate)
+{
+  return aPredicate(aGroup.m_dispatcher) &&
+         std::all_of(
+           aGroup.m_standbys.begin(), aGroup.m_standbys.end(), aPredicate);
+}
+
 } // namespace
 
 GroupManager::GroupManager(NodeConfig aConfig,
@@ -480,11 +490,8 @@
       continue;
     }
     const auto found = aState.m_groups.find(id);
-    const bool mayBeUnled = found == aState.m_groups.end() ||
-                            (replaced(found->second.m_dispatcher) &&
-                             std::all_of(found->second.m_standbys.begin(),
-                                         found->second.m_standbys.end(),
-                                         replaced));
+    const bool mayBeUnled =
+      found == aState.m_groups.end() || HoldsForAll(found->second, replaced);
     if (mayBeUnled) {
       const auto known = m_unled.find(id);
       unled[id] = known == m_unled.end() ? std::nullopt : known->second;
@@ -497,29 +504,25 @@
 GroupManager::ClaimIfUnled(TimePoint aNow,
                            const ClusterState& aState,
                            const GroupId& aGroup,
+                           std::optional<TimePoint>& aSilentSince,
                            Actions& aActions)
 {
   const auto& timing = m_config.m_timing;
   const auto found = aState.m_groups.find(aGroup);
   const bool unclaimed = found == aState.m_groups.end();
-  auto& since = m_unled.at(aGroup);
   const auto gone = [&](const HostId& aHost) {
     return IsGone(aNow, aState, aHost);
   };
-  const bool silent =
-    unclaimed ||
-    (gone(found->second.m_dispatcher) &&
-     std::all_of(
-       found->second.m_standbys.begin(), found->second.m_standbys.end(), gone));
+  const bool silent = unclaimed || HoldsForAll(found->second, gone);
   if (!silent) {
-    since.reset();
+    aSilentSince.reset();
     return;
   }
-  since = since.value_or(aNow);
+  aSilentSince = aSilentSince.value_or(aNow);
   const auto wait = unclaimed ? timing.m_bootstrapDelay : timing.m_guardGrace;
   const auto stagger = StaggerOf(aState, aGroup.m_region, ItemOf(aGroup));
   const auto candidates = FreshCandidates(aNow, aState, aGroup);
-  if (aNow - *since < wait + stagger) {
+  if (aNow - *aSilentSince < wait + stagger) {
     return;
   }
   m_appends->AppendOnce(
@@ -538,8 +541,8 @@
                          Actions& aActions)
 {
   FindUnled(aState);
-  for (const auto& [id, since] : m_unled) {
-    ClaimIfUnled(aNow, aState, id, aActions);
+  for (auto& [id, silentSince] : m_unled) {
+    ClaimIfUnled(aNow, aState, id, silentSince, aActions);
   }
 }
 
--- a/src/sapphirehook/ownership/group_manager.hpp
+++ b/src/sapphirehook/ownership/group_manager.hpp
@@ -145,6 +145,7 @@
   void ClaimIfUnled(TimePoint aNow,
                     const ClusterState& aState,
                     const GroupId& aGroup,
+                    std::optional<TimePoint>& aSilentSince,
                     Actions& aActions);
   void NoteAuthority(TimePoint aNow, Actions& aActions);
   [[nodiscard]] Millis StaggerOf(const ClusterState& aState,
