Planner: only moves that lower the highest load; speeds measured by all daemons; drain bound

Cause: a hot single key went back and forth between two endpoints, and the leader knew speeds by an eighth of the answers. Change: greedy levelling that accepts a move only when the target ends below 0.9 of the source; service times told in beats; removal counts 400 ms before the drain bound, by a timer set to the moment.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -16,15 +16,13 @@
 constexpr ReaderTimes kLeaderReads{ Millis(2000), Millis(60) };
 /** A daemon this long behind its peers in a topic reads anew. */
 constexpr Millis kBehindFor{ 300 };
-/** A removed endpoint may come back within this time after an outage; a
-    leaving one must get no work after 2 s. */
-constexpr Millis kReturnGrace{ 1800 };
+/** An entry that may have lapsed counts as removed this long before a leaving
+    endpoint must get no more work, which covers the way to the endpoint. */
+constexpr Millis kDrainMargin{ 400 };
 /** Removals within this time after trouble with the store may be lapses. */
 constexpr Millis kLapseWindow{ 2500 };
 /** Removed endpoints are forgotten after this. */
 constexpr Millis kForgetAfter{ 60'000 };
-/** How often removals that have come to count are looked for. */
-constexpr Millis kDirectoryTick{ 250 };
 /** After the signal to stop, the balancer sends new connections for up to two
     of its questions, one second apart. */
 constexpr Millis kLeaveRotation{ 2400 };
@@ -61,7 +59,7 @@
   : m_settings(std::move(aSettings))
   , m_protocol(std::move(aProtocol))
   , m_log(m_settings.m_host)
-  , m_directory(kReturnGrace)
+  , m_directory(m_settings.m_drain - kDrainMargin)
   , m_engine(m_loop,
              m_protocol,
              m_log,
@@ -247,12 +245,14 @@
   m_engine.SetEndpoints(now, m_directory);
   m_ownership.OnChange();
   m_engine.Pump();
-  bool waits = false;
+  TimePoint next = TimePoint::max();
   for (const auto& [name, known] : m_directory.All()) {
-    waits = waits || (known.m_removedAt && now < known.m_removalCountsAt);
+    if (known.m_removedAt && now < known.m_removalCountsAt) {
+      next = std::min(next, known.m_removalCountsAt);
+    }
   }
-  if (waits) {
-    m_directoryTimer.Start(kDirectoryTick);
+  if (next != TimePoint::max()) {
+    m_directoryTimer.Start(next - now);
   }
 }
 
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -172,14 +172,17 @@
                          const std::string& aPeer,
                          const std::vector<EndpointUse>& aUses)
 {
-  std::map<std::string_view, std::uint32_t> running;
+  std::map<std::string_view, const EndpointUse*> told;
   for (const auto& use : aUses) {
-    running[use.m_endpoint] = use.m_running;
+    told[use.m_endpoint] = &use;
   }
   for (auto& [name, endpoint] : m_endpoints) {
-    const auto found = running.find(name);
+    const auto found = told.find(name);
     endpoint->m_load.OnPeer(
-      aNow, aPeer, found == running.end() ? 0 : found->second);
+      aNow, aPeer, found == told.end() ? 0 : found->second->m_running);
+    if (found != told.end() && found->second->m_serviceMs > 0) {
+      endpoint->m_load.OnPeerService(Millis(found->second->m_serviceMs));
+    }
   }
 }
 
@@ -209,7 +212,7 @@
     return 1.0;
   }
   const auto& endpoint = *found->second;
-  std::chrono::duration<double> time = endpoint.m_load.ServiceTime();
+  std::chrono::duration<double> time = endpoint.m_load.SharedServiceTime();
   const auto service = m_services.find(endpoint.m_record.m_service);
   if (time.count() <= 0.0 && service != m_services.end()) {
     time = service->second.m_typical;
--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -10,14 +10,8 @@
 /** What faded below this count is dropped. */
 constexpr float kNegligible = 0.01F;
 
-struct Load
-{
-  double m_rate = 0.0;
-  double m_capacity = 0.0;
-  std::vector<std::size_t> m_ranges;
-
-  [[nodiscard]] double Share() const noexcept { return m_rate / m_capacity; }
-};
+/** Keeps a division by a capacity of nothing harmless, in requests a second. */
+constexpr double kLeastCapacity = 0.1;
 
 } // namespace
 
@@ -84,67 +78,92 @@
   std::map<std::string, Load> loads;
   double capacity = 0.0;
   for (const auto& endpoint : aEndpoints) {
-    loads[endpoint.m_name].m_capacity = std::max(endpoint.m_capacity, 0.1);
+    loads[endpoint.m_name].m_capacity =
+      std::max(endpoint.m_capacity, kLeastCapacity);
     capacity += endpoint.m_capacity;
   }
-  std::vector<double> rates(aRanges.size());
+  if (capacity <= 0.0 || loads.size() < 2) {
+    return {};
+  }
   double total = 0.0;
-  for (std::size_t i = 0; i < aRanges.size(); ++i) {
-    rates[i] = Rate(aRanges[i].m_range);
-    total += rates[i];
-    const auto holder = loads.find(aRanges[i].m_endpoint);
+  for (const auto& range : aRanges) {
+    const double rate = Rate(range.m_range);
+    total += rate;
+    const auto holder = loads.find(range.m_endpoint);
     if (holder != loads.end()) {
-      holder->second.m_rate += rates[i];
-      if (!aRanges[i].m_moving) {
-        holder->second.m_ranges.push_back(i);
+      holder->second.m_rate += rate;
+      if (!range.m_moving && rate > 0.0) {
+        holder->second.m_ranges.push_back(range.m_range);
       }
     }
   }
-  if (capacity <= 0.0 || loads.size() < 2) {
-    return {};
+  const double most =
+    std::max(m_config.m_busyShare, total / capacity * m_config.m_excess);
+  std::vector<PlannedMove> moves;
+  while (moves.size() < m_config.m_maxMoves) {
+    auto* busiest = Busiest(loads);
+    if (busiest == nullptr || busiest->Share() <= most) {
+      break;
+    }
+    if (!MoveOne(*busiest, loads, moves)) {
+      busiest->m_settled = true;
+    }
   }
-  const double mean = total / capacity;
-  const double most = std::max(m_config.m_busyShare, mean * m_config.m_excess);
-  std::vector<Piece> pieces;
-  for (auto& [name, load] : loads) {
-    if (load.Share() <= most) {
-      continue;
+  return moves;
+}
+
+RangePlanner::Load*
+RangePlanner::Busiest(std::map<std::string, Load>& aLoads)
+{
+  Load* busiest = nullptr;
+  for (auto& [name, load] : aLoads) {
+    if (!load.m_settled &&
+        (busiest == nullptr || load.Share() > busiest->Share())) {
+      busiest = &load;
     }
-    std::sort(load.m_ranges.begin(),
-              load.m_ranges.end(),
-              [&](std::size_t aLeft, std::size_t aRight) {
-                return rates[aLeft] > rates[aRight];
-              });
-    const double goal = std::max(mean, m_config.m_busyShare / 2);
-    for (const std::size_t i : load.m_ranges) {
-      const double pieceMost = load.m_capacity * m_config.m_pieceShare;
-      for (const auto& piece : Cut(aRanges[i].m_range, pieceMost)) {
-        const bool isExcess =
-          load.m_rate - piece.m_rate / 2 > goal * load.m_capacity;
-        if (piece.m_rate > 0.0 && isExcess) {
-          load.m_rate -= piece.m_rate;
-          pieces.push_back(piece);
-        }
-      }
+  }
+  return busiest;
+}
+
+/** Moves one piece off an endpoint: the busiest one that another endpoint can
+    take without becoming as busy. Returns false when there is none. */
+bool
+RangePlanner::MoveOne(Load& aFrom,
+                      std::map<std::string, Load>& aLoads,
+                      std::vector<PlannedMove>& aMoves) const
+{
+  if (!aFrom.m_isCut) {
+    aFrom.m_isCut = true;
+    for (const auto& range : aFrom.m_ranges) {
+      const auto pieces = Cut(range, aFrom.m_capacity * m_config.m_pieceShare);
+      aFrom.m_pieces.insert(aFrom.m_pieces.end(), pieces.begin(), pieces.end());
     }
+    std::sort(aFrom.m_pieces.begin(),
+              aFrom.m_pieces.end(),
+              [](const auto& aLeft, const auto& aRight) {
+                return aLeft.m_rate > aRight.m_rate;
+              });
   }
-  std::sort(pieces.begin(), pieces.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.m_rate > aRight.m_rate;
-  });
-  pieces.resize(std::min(pieces.size(), m_config.m_maxMoves));
-  std::vector<PlannedMove> moves;
-  for (const auto& piece : pieces) {
+  for (auto piece = aFrom.m_pieces.begin(); piece != aFrom.m_pieces.end();
+       ++piece) {
+    const auto shareAfter = [&](const Load& aLoad) {
+      return (aLoad.m_rate + piece->m_rate) / aLoad.m_capacity;
+    };
     const auto to = std::min_element(
-      loads.begin(), loads.end(), [&](const auto& aLeft, const auto& aRight) {
-        const auto after = [&](const Load& aLoad) {
-          return (aLoad.m_rate + piece.m_rate) / aLoad.m_capacity;
-        };
-        return after(aLeft.second) < after(aRight.second);
+      aLoads.begin(), aLoads.end(), [&](const auto& aLeft, const auto& aRight) {
+        return shareAfter(aLeft.second) < shareAfter(aRight.second);
       });
-    to->second.m_rate += piece.m_rate;
-    moves.push_back({ piece.m_range, to->first });
+    if (&to->second == &aFrom || piece->m_rate <= 0.0 ||
+        shareAfter(to->second) > aFrom.Share() * m_config.m_gain) {
+      continue;
+    }
+    to->second.m_rate += piece->m_rate;
+    aFrom.m_rate -= piece->m_rate;
+    aMoves.push_back({ piece->m_range, to->first });
+    aFrom.m_pieces.erase(piece);
+    return true;
   }
-  return moves;
+  return false;
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/keys/range_planner.hpp
+++ b/src/sapphirehook/keys/range_planner.hpp
@@ -14,7 +14,7 @@
 struct PlannerConfig
 {
   /** Time over which request rates are averaged. */
-  std::chrono::nanoseconds m_window = std::chrono::milliseconds(800);
+  std::chrono::nanoseconds m_window = std::chrono::milliseconds(600);
   /** Endpoints are unburdened above this share of their capacity. */
   double m_busyShare = 0.55;
   /** An endpoint is unburdened when it has this many times the mean load. */
@@ -22,6 +22,9 @@
   /** A range is cut when it makes up more than this share of what an endpoint
       can do. */
   double m_pieceShare = 0.12;
+  /** A piece moves only where the load then is below this part of what it
+      leaves. */
+  double m_gain = 0.9;
   /** Most ranges that move in one round. */
   std::size_t m_maxMoves = 48;
 };
@@ -75,7 +78,25 @@
     double m_rate = 0.0;
   };
 
+  /** An endpoint's requests a second, and what could be moved off it. */
+  struct Load
+  {
+    double m_rate = 0.0;
+    double m_capacity = 0.0;
+    std::vector<KeyRange> m_ranges;
+    std::vector<Piece> m_pieces;
+    bool m_isCut = false;
+    /** Nothing more can be gained by moving off it. */
+    bool m_settled = false;
+
+    [[nodiscard]] double Share() const noexcept { return m_rate / m_capacity; }
+  };
+
   [[nodiscard]] std::vector<Piece> Cut(KeyRange aRange, double aMost) const;
+  [[nodiscard]] static Load* Busiest(std::map<std::string, Load>& aLoads);
+  bool MoveOne(Load& aFrom,
+               std::map<std::string, Load>& aLoads,
+               std::vector<PlannedMove>& aMoves) const;
 
   PlannerConfig m_config;
   /** Faded count of requests by key; a rate once divided by the window. */
--- a/src/sapphirehook/net/event_loop.cpp
+++ b/src/sapphirehook/net/event_loop.cpp
@@ -10,8 +10,15 @@
   std::function<void()> m_function;
 };
 
+namespace {
+
+constexpr unsigned kBackend = EVBACKEND_EPOLL;
+constexpr unsigned kFlags = EVFLAG_NOINOTIFY | EVFLAG_NOTIMERFD;
+
+} // namespace
+
 EventLoop::EventLoop()
-  : m_loop(ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOTIMERFD | EVFLAG_NOINOTIFY))
+  : m_loop(ev_loop_new(kBackend | kFlags))
 {
   ev_prepare_init(&m_prepare, RunDeferred);
   m_prepare.data = this;
--- a/src/sapphirehook/placement/endpoint_load.cpp
+++ b/src/sapphirehook/placement/endpoint_load.cpp
@@ -73,6 +73,26 @@
   }
 }
 
+void
+EndpointLoad::OnPeerService(std::chrono::nanoseconds aService) noexcept
+{
+  m_peerService = m_peerService == std::chrono::nanoseconds(0)
+                    ? aService
+                    : m_peerService +
+                        Scaled(aService - m_peerService, kServiceWeight);
+}
+
+std::chrono::nanoseconds
+EndpointLoad::SharedServiceTime() const noexcept
+{
+  if (m_peerService == std::chrono::nanoseconds(0)) {
+    return m_service;
+  }
+  return m_service == std::chrono::nanoseconds(0)
+           ? m_peerService
+           : (m_service + m_peerService) / 2;
+}
+
 std::size_t
 EndpointLoad::Running(TimePoint aNow) const
 {
@@ -93,8 +113,8 @@
 EndpointLoad::ExpectedFinish(TimePoint aNow,
                              std::chrono::nanoseconds aTypical) const
 {
-  const auto service =
-    m_service > std::chrono::nanoseconds(0) ? m_service : aTypical;
+  const auto shared = SharedServiceTime();
+  const auto service = shared > std::chrono::nanoseconds(0) ? shared : aTypical;
   const std::size_t running = Running(aNow);
   const double turns =
     running < m_slots
--- a/src/sapphirehook/placement/endpoint_load.hpp
+++ b/src/sapphirehook/placement/endpoint_load.hpp
@@ -65,6 +65,13 @@
     return Running(aNow) < Limit(aNow);
   }
 
+  /** A peer told its mean time of an answer. */
+  void OnPeerService(std::chrono::nanoseconds aService) noexcept;
+
+  /** Mean time of an answer, by this daemon and its peers; zero while nothing
+      is known. */
+  [[nodiscard]] std::chrono::nanoseconds SharedServiceTime() const noexcept;
+
   /** Time until a request sent now would be answered. */
   [[nodiscard]] std::chrono::nanoseconds ExpectedFinish(
     TimePoint aNow,
@@ -106,6 +113,7 @@
   std::size_t m_running = 0;
   std::map<std::string, PeerUse> m_peers;
   std::chrono::nanoseconds m_service{};
+  std::chrono::nanoseconds m_peerService{};
   double m_failures = 0.0;
   unsigned m_failuresInRow = 0;
   unsigned m_unreachable = 0;
