Ranges lie within store blocks; speeds corrected for waiting; newcomers get keys

Ruled out: lost reports, missing authority (logged each plan). Change: CoverAll stops at block ends; service times are divided by the turns that waiting was expected to take, and count after five answers; the first deal waits 400 ms for endpoints; an endpoint without a range gets half the mean. A resigned or restarted predecessor's end is found at the claim. The block rule needs a test.

--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -28,6 +28,9 @@
 /** Ranges for each endpoint at the start, so that the keys of one can be
     dealt out to several. */
 constexpr std::size_t kRangesPerEndpoint = 6;
+/** The first endpoints of a service are waited for this long before its keys
+    are dealt out for the first time. */
+constexpr Millis kGatherEndpoints{ 400 };
 /** Terms are this far apart in fences: more than a term's changes. */
 constexpr unsigned kFenceTermBits = 22;
 /** Ranges beyond which no more are cut. */
@@ -112,7 +115,7 @@
       return;
     }
     TickLed();
-  } else if (!m_led.empty()) {
+  } else if (m_reader) {
     StepDown("another daemon leads");
   } else if (!m_claiming && !m_stopping && !KeyedServices().empty() &&
              m_leadership.ShouldClaim(now, m_storeWorks)) {
@@ -276,7 +279,7 @@
 void
 Ownership::StepDown(std::string_view aWhy)
 {
-  if (m_led.empty() && !m_reader) {
+  if (!m_reader) {
     return;
   }
   m_log.Write(LogLine("stops-leading")
@@ -304,11 +307,29 @@
 
 // The leader's work.
 
+bool
+Ownership::CanBegin(TimePoint aNow, const std::string& aService)
+{
+  const std::string prefix = kRangePrefix + aService + "/";
+  const auto stored = m_stored.lower_bound(prefix);
+  if (stored != m_stored.end() &&
+      stored->first.compare(0, prefix.size(), prefix) == 0) {
+    return true;
+  }
+  for (const auto& [name, known] : m_directory.All()) {
+    if (known.m_record.m_service == aService) {
+      const auto since = m_seenSince.try_emplace(aService, aNow).first->second;
+      return aNow >= since + kGatherEndpoints;
+    }
+  }
+  return false;
+}
+
 void
-Ownership::SyncServices(TimePoint /*aNow*/)
+Ownership::SyncServices(TimePoint aNow)
 {
   for (const auto& name : KeyedServices()) {
-    if (m_led.contains(name)) {
+    if (m_led.contains(name) || !CanBegin(aNow, name)) {
       continue;
     }
     const Fence first = (m_claimTerm << kFenceTermBits) + 1;
@@ -495,7 +516,14 @@
           { endpoint.m_life.m_name, endpoint.m_capacity });
       }
     }
-    for (const auto& move : led.m_planner.Plan(ranges, endpoints)) {
+    const auto moves = led.m_planner.Plan(ranges, endpoints);
+    for (const auto& move : moves) {
+      m_log.Write(LogLine("range-moves")
+                    .Add("first", move.m_range.m_first)
+                    .Add("last", move.m_range.m_last)
+                    .Add("rate", static_cast<int>(
+                                   led.m_planner.Rate(move.m_range)))
+                    .Add("to", move.m_to));
       led.m_keeper.Move(now, move.m_range, move.m_to);
     }
   }
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -111,6 +111,9 @@
   void OnAppended(Offset aEnd);
   void OnOwnRecord(const KeyedRecord& aRecord);
   void SyncServices(TimePoint aNow);
+  /** Whether a service's keys may be dealt out: they have been before, or its
+      first endpoints have had the time to appear. */
+  [[nodiscard]] bool CanBegin(TimePoint aNow, const std::string& aService);
   std::vector<KeeperEndpoint> KeeperEndpoints(TimePoint aNow,
                                               const std::string& aService);
   EndpointOrders* OrdersOf(const std::string& aEndpoint);
@@ -156,6 +159,8 @@
   bool m_appendBusy = false;
 
   std::map<std::string, Followed> m_followed;
+  /** When the first endpoint of a service was seen. */
+  std::map<std::string, TimePoint> m_seenSince;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -568,7 +568,7 @@
     connection = std::make_shared<UpstreamConnection>(
       m_loop, m_protocol, aEndpoint.m_record.m_address);
   }
-  aEndpoint.m_load.OnSent();
+  transaction.m_turns = aEndpoint.m_load.OnSent(aNow);
   ++transaction.m_sends;
   transaction.m_tried.insert(aEndpoint.m_record.m_life.m_name);
   transaction.m_sentAt = aNow;
@@ -654,28 +654,22 @@
 void
 RequestEngine::EndAttempt(TimePoint aNow,
                           const TransactionPtr& aTransaction,
-                          AttemptEnd aEnd,
-                          const ResponseHead* aHead)
+                          AttemptEnd aEnd)
 {
   ReturnConnection(aTransaction);
   const auto found = m_endpoints.find(aTransaction->m_sentTo);
   if (found == m_endpoints.end()) {
     return;
   }
-  std::size_t waiting = 0;
-  if (aHead != nullptr) {
-    const auto* text = FindHeader(aHead->m_headers, m_protocol.m_loadHeader);
-    const auto load = text != nullptr
-                        ? m_protocol.m_parseLoad(*text)
-                        : absl::StatusOr<ReportedLoad>(ReportedLoad{});
-    waiting = load.ok() ? load->m_waiting : 0;
-  }
   const auto took = aNow - aTransaction->m_sentAt;
-  found->second->m_load.OnEnd(aNow, aEnd, took, waiting);
+  found->second->m_load.OnEnd(aNow, aEnd, took, aTransaction->m_turns);
   if (aEnd == AttemptEnd::Answered) {
     constexpr int kMeanOver = 50; // answers
     auto& typical = ServiceOf(aTransaction->m_service).m_typical;
-    typical += (took - typical) / kMeanOver;
+    const std::chrono::nanoseconds service(
+      static_cast<std::chrono::nanoseconds::rep>(
+        static_cast<double>(took.count()) / aTransaction->m_turns));
+    typical += (service - typical) / kMeanOver;
   }
 }
 
@@ -698,7 +692,7 @@
   } else if (aHead.m_status >= kServerError) {
     end = AttemptEnd::Failed;
   }
-  EndAttempt(BootClock::now(), aTransaction, end, &aHead);
+  EndAttempt(BootClock::now(), aTransaction, end);
   TakeNextStep(aTransaction, end, &aHead, aBody);
   Pump();
 }
@@ -709,7 +703,7 @@
   const bool sent = aFault != UpstreamFault::Refused &&
                     aFault != UpstreamFault::NotConnected;
   const auto end = sent ? AttemptEnd::Lost : AttemptEnd::NotSent;
-  EndAttempt(BootClock::now(), aTransaction, end, nullptr);
+  EndAttempt(BootClock::now(), aTransaction, end);
   if (aTransaction->m_done) {
     return;
   }
@@ -843,7 +837,7 @@
   if (now + kEarly >= transaction.m_deadline) {
     if (transaction.m_upstream) {
       transaction.m_upstream->Abandon();
-      EndAttempt(now, aTransaction, AttemptEnd::Abandoned, nullptr);
+      EndAttempt(now, aTransaction, AttemptEnd::Abandoned);
     }
     if (transaction.m_answering) {
       auto* sink = transaction.m_sink;
@@ -870,7 +864,7 @@
   if (transaction.m_upstream) {
     transaction.m_upstream->Abandon();
     EndAttempt(
-      BootClock::now(), aTransaction, AttemptEnd::Abandoned, nullptr);
+      BootClock::now(), aTransaction, AttemptEnd::Abandoned);
   }
   Complete(aTransaction);
   m_loop.Defer([this] { Pump(); });
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -173,8 +173,7 @@
   void OnFault(const TransactionPtr& aTransaction, UpstreamFault aFault);
   void EndAttempt(TimePoint aNow,
                   const TransactionPtr& aTransaction,
-                  AttemptEnd aEnd,
-                  const ResponseHead* aHead);
+                  AttemptEnd aEnd);
   void TakeNextStep(const TransactionPtr& aTransaction,
                     AttemptEnd aEnd,
                     const ResponseHead* aHead,
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -77,6 +77,8 @@
   /** It is not sent before this. */
   TimePoint m_notBefore{};
   TimePoint m_sentAt{};
+  /** Services' time that the attempt was expected to take when sent. */
+  double m_turns = 1.0;
   std::string m_sentTo;
 
   std::shared_ptr<UpstreamConnection> m_upstream;
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -20,6 +20,7 @@
   : m_times(aTimes)
   , m_self(std::move(aSelf))
   , m_leaderHeardAt(aNow)
+  , m_idleSince(aNow)
 {
 }
 
@@ -29,9 +30,6 @@
   if (aRecord.m_term < m_record.m_term) {
     return;
   }
-  if (aRecord.m_leader != m_record.m_leader) {
-    m_predecessorEnds.reset();
-  }
   if (aRecord != m_record) {
     // Counted from the reading, which is later than the append.
     m_earlierEnds = aNow + Millis(aRecord.m_earlierGrantsMs);
@@ -40,6 +38,7 @@
   m_term = std::max(m_term, aRecord.m_term);
   if (m_leads && aRecord.m_leader != m_self) {
     m_leads = false;
+    m_idleSince = aNow;
   }
 }
 
@@ -57,11 +56,9 @@
     m_leaderHeardAt = aNow;
   }
   m_term = std::max(m_term, aTerm);
-  const auto& recorded = m_record.m_leader;
-  if (aFrom.m_host == recorded.m_host &&
-      aFrom.m_incarnation > recorded.m_incarnation && !m_predecessorEnds) {
-    // The recorded leader's process has ended: another runs on its host.
-    m_predecessorEnds = aNow + HoldEnd();
+  auto& run = m_runs[aFrom.m_host];
+  if (aFrom.m_incarnation > run.m_incarnation) {
+    run = { aFrom.m_incarnation, aNow };
   }
 }
 
@@ -74,7 +71,8 @@
   if (aTerm >= m_term && aFrom != m_self) {
     m_leader = {};
     m_leaderHeardAt = aNow - m_times.m_silence;
-    m_predecessorEnds = aNow + aEnds;
+    m_resignedTerm = aTerm;
+    m_resignedEnds = aNow + aEnds;
   }
 }
 
@@ -109,20 +107,34 @@
     });
 }
 
+/** When the grants of the recorded leader have run out. Without a sign that it
+    has ended, it may act until its authority ends, and its last grant lasts
+    from then on. */
+TimePoint
+Leadership::PredecessorEnds(TimePoint aNow) const
+{
+  const auto& leader = m_record.m_leader;
+  if (m_record.m_term == 0) {
+    return {};
+  }
+  if (leader.m_host == m_self.m_host) {
+    return m_idleSince + HoldEnd(); // this run or an earlier one on this host
+  }
+  if (m_resignedTerm == m_record.m_term) {
+    return m_resignedEnds;
+  }
+  const auto run = m_runs.find(leader.m_host);
+  if (run != m_runs.end() &&
+      run->second.m_incarnation > leader.m_incarnation) {
+    return run->second.m_seenAt + HoldEnd();
+  }
+  return aNow + m_times.m_authority + HoldEnd();
+}
+
 void
 Leadership::OnClaimed(TimePoint aNow, Term aTerm)
 {
-  // Without a sign that the one before has ended, it may act until its
-  // authority ends, and its last grant lasts from then on.
-  TimePoint predecessorEnds{};
-  if (m_record.m_leader.m_host == m_self.m_host) {
-    predecessorEnds = aNow + HoldEnd(); // an earlier run on this host
-  } else if (m_record.m_term != 0) {
-    predecessorEnds = m_predecessorEnds.value_or(
-      aNow + m_times.m_authority + HoldEnd());
-  }
-  m_foreignEnds = std::max(predecessorEnds, m_earlierEnds);
-  m_predecessorEnds.reset();
+  m_foreignEnds = std::max(PredecessorEnds(aNow), m_earlierEnds);
   m_leads = true;
   m_term = std::max(m_term, aTerm);
   m_record = { aTerm, m_self, 0, 0 };
@@ -140,6 +152,7 @@
 Leadership::Resign(TimePoint aNow) noexcept
 {
   m_leads = false;
+  m_idleSince = aNow;
   m_resignedAt = aNow;
   m_leaderHeardAt = aNow;
 }
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -108,6 +108,7 @@
   [[nodiscard]] std::optional<HostId> Leader(TimePoint aNow) const;
 
 private:
+  [[nodiscard]] TimePoint PredecessorEnds(TimePoint aNow) const;
   [[nodiscard]] std::chrono::nanoseconds HoldEnd() const noexcept
   {
     return WithDrift(m_times.m_hold, m_times.m_driftPpm);
@@ -123,8 +124,18 @@
   bool m_leads = false;
   TimePoint m_provenAt{};
   TimePoint m_foreignEnds{};
-  /** Set when the recorded leader is known not to act any more. */
-  std::optional<TimePoint> m_predecessorEnds;
+  /** When this daemon started, or last stopped to lead. */
+  TimePoint m_idleSince;
+  /** The latest run that was heard of on each host, and since when. */
+  struct Run
+  {
+    std::uint64_t m_incarnation = 0;
+    TimePoint m_seenAt{};
+  };
+  std::map<std::string, Run> m_runs;
+  /** The last leader that stepped down in an orderly way. */
+  Term m_resignedTerm = 0;
+  TimePoint m_resignedEnds{};
   /** When the grants of the recorded leader's predecessors have run out. */
   TimePoint m_earlierEnds{};
   TimePoint m_resignedAt{};
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -54,8 +54,10 @@
       first = std::uint32_t{ after->second.m_range.m_last } + 1;
       continue;
     }
+    // A range lies within one block, so that storing its block stores it.
+    const std::uint32_t blockEnd = (first / kStoreBlockKeys + 1) * kStoreBlockKeys;
     const std::uint32_t end =
-      std::min({ limit, (first / size + 1) * size, kKeyCount });
+      std::min({ limit, (first / size + 1) * size, blockEnd });
     Range range;
     range.m_range = { static_cast<Key>(first), static_cast<Key>(end - 1) };
     m_ranges.emplace(range.m_range.m_first, range);
--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -12,6 +12,11 @@
 
 /** Keeps a division by a capacity of nothing harmless, in requests a second. */
 constexpr double kLeastCapacity = 0.1;
+/** An endpoint without a range is given at least this part of the mean load. */
+constexpr double kNewcomerPart = 0.5;
+/** Requests a second that any key is reckoned to get, so that keys without
+    traffic are dealt out too. */
+constexpr double kIdleKeyRate = 2e-5;
 
 } // namespace
 
@@ -47,7 +52,8 @@
   for (std::uint32_t key = aRange.m_first; key <= aRange.m_last; ++key) {
     count += static_cast<double>(m_rates[key]);
   }
-  return count / std::chrono::duration<double>(m_config.m_window).count();
+  return kIdleKeyRate * aRange.Size() +
+         count / std::chrono::duration<double>(m_config.m_window).count();
 }
 
 std::vector<RangePlanner::Piece>
@@ -58,7 +64,8 @@
   std::vector<Piece> pieces;
   Piece piece{ { aRange.m_first, aRange.m_first }, 0.0 };
   for (std::uint32_t key = aRange.m_first; key <= aRange.m_last; ++key) {
-    const double rate = static_cast<double>(m_rates[key]) / window;
+    const double rate =
+      kIdleKeyRate + static_cast<double>(m_rates[key]) / window;
     if (piece.m_rate > 0.0 && piece.m_rate + rate > aMost) {
       piece.m_range.m_last = static_cast<Key>(key - 1);
       pieces.push_back(piece);
@@ -92,7 +99,8 @@
     const auto holder = loads.find(range.m_endpoint);
     if (holder != loads.end()) {
       holder->second.m_rate += rate;
-      if (!range.m_moving && rate > 0.0) {
+      holder->second.m_isNew = false;
+      if (!range.m_moving) {
         holder->second.m_ranges.push_back(range.m_range);
       }
     }
@@ -100,9 +108,16 @@
   const double most =
     std::max(m_config.m_busyShare, total / capacity * m_config.m_excess);
   std::vector<PlannedMove> moves;
+  const double mean = total / capacity;
   while (moves.size() < m_config.m_maxMoves) {
     auto* busiest = Busiest(loads);
-    if (busiest == nullptr || busiest->Share() <= most) {
+    // An endpoint that has joined gets its part also while none is busy.
+    const bool newcomer = std::any_of(
+      loads.begin(), loads.end(), [&](const auto& aOne) {
+        return aOne.second.m_isNew &&
+               aOne.second.Share() < mean * kNewcomerPart;
+      });
+    if (busiest == nullptr || (busiest->Share() <= most && !newcomer)) {
       break;
     }
     if (!MoveOne(*busiest, loads, moves)) {
--- a/src/sapphirehook/keys/range_planner.hpp
+++ b/src/sapphirehook/keys/range_planner.hpp
@@ -86,6 +86,8 @@
     std::vector<KeyRange> m_ranges;
     std::vector<Piece> m_pieces;
     bool m_isCut = false;
+    /** It holds no range yet. */
+    bool m_isNew = true;
     /** Nothing more can be gained by moving off it. */
     bool m_settled = false;
 
--- a/src/sapphirehook/placement/endpoint_load.cpp
+++ b/src/sapphirehook/placement/endpoint_load.cpp
@@ -16,7 +16,7 @@
 /** An endpoint that said it is full gets nothing for this long. */
 constexpr Millis kFullLasts{ 60 };
 /** Weights of the newest observation in running means. */
-constexpr double kServiceWeight = 0.08;
+constexpr double kServiceWeight = 0.04;
 constexpr double kFailureWeight = 0.1;
 
 std::chrono::nanoseconds
@@ -28,11 +28,27 @@
 
 } // namespace
 
+double
+EndpointLoad::Turns(std::size_t aRunning) const noexcept
+{
+  return aRunning < m_slots ? 1.0
+                            : 1.0 + static_cast<double>(aRunning - m_slots + 1) /
+                                      static_cast<double>(m_slots);
+}
+
+double
+EndpointLoad::OnSent(TimePoint aNow)
+{
+  const double turns = Turns(Running(aNow));
+  ++m_running;
+  return turns;
+}
+
 void
 EndpointLoad::OnEnd(TimePoint aNow,
                     AttemptEnd aEnd,
                     std::chrono::nanoseconds aTook,
-                    std::size_t aWaiting)
+                    double aTurns)
 {
   m_running -= m_running > 0 ? 1 : 0;
   if (aEnd == AttemptEnd::Abandoned) {
@@ -47,11 +63,10 @@
   }
   if (aEnd == AttemptEnd::Answered) {
     m_failuresInRow = 0;
-    if (aWaiting == 0) {
-      m_service = m_service == std::chrono::nanoseconds(0)
-                    ? aTook
-                    : m_service + Scaled(aTook - m_service, kServiceWeight);
-    }
+    // The mean of the first answers, then one that follows changes.
+    ++m_samples;
+    const double weight = std::max(kServiceWeight, 1.0 / m_samples);
+    m_service += Scaled(Scaled(aTook, 1.0 / aTurns) - m_service, weight);
   } else if (!reached) {
     const auto ejection =
       std::min(kFirstEjection * (1U << std::min(m_failuresInRow, 4U)),
@@ -85,12 +100,12 @@
 std::chrono::nanoseconds
 EndpointLoad::SharedServiceTime() const noexcept
 {
+  const auto own = ServiceTime();
   if (m_peerService == std::chrono::nanoseconds(0)) {
-    return m_service;
+    return own;
   }
-  return m_service == std::chrono::nanoseconds(0)
-           ? m_peerService
-           : (m_service + m_peerService) / 2;
+  return own == std::chrono::nanoseconds(0) ? m_peerService
+                                            : (own + m_peerService) / 2;
 }
 
 std::size_t
@@ -115,12 +130,7 @@
 {
   const auto shared = SharedServiceTime();
   const auto service = shared > std::chrono::nanoseconds(0) ? shared : aTypical;
-  const std::size_t running = Running(aNow);
-  const double turns =
-    running < m_slots
-      ? 1.0
-      : 1.0 + static_cast<double>(running - m_slots + 1) /
-                static_cast<double>(m_slots);
+  const double turns = Turns(Running(aNow));
   constexpr double kFailureCost = 4.0; // a failure costs several services
   return Scaled(service, turns * (1.0 + kFailureCost * m_failures));
 }
--- a/src/sapphirehook/placement/endpoint_load.hpp
+++ b/src/sapphirehook/placement/endpoint_load.hpp
@@ -38,15 +38,15 @@
   {
   }
 
-  /** A request is sent. */
-  void OnSent() noexcept { ++m_running; }
+  /** A request is sent. Returns how many services' time it is expected to
+      take, as it may have to wait for others. */
+  double OnSent(TimePoint aNow);
 
-  /** A request came back after a time. aWaiting is how many requests the
-      endpoint said were waiting for a slot. */
+  /** A request came back after a time. aTurns is what OnSent returned. */
   void OnEnd(TimePoint aNow,
              AttemptEnd aEnd,
              std::chrono::nanoseconds aTook,
-             std::size_t aWaiting);
+             double aTurns);
 
   /** A peer told how many of its requests are at the endpoint. */
   void OnPeer(TimePoint aNow, const std::string& aPeer, std::size_t aRunning);
@@ -80,7 +80,8 @@
   /** Mean time of an answer without waiting; zero while nothing is known. */
   [[nodiscard]] std::chrono::nanoseconds ServiceTime() const noexcept
   {
-    return m_service;
+    return m_samples >= kEnoughSamples ? m_service
+                                       : std::chrono::nanoseconds(0);
   }
 
   /** The endpoint is left out until this time, since it failed. */
@@ -108,11 +109,15 @@
   };
 
   static constexpr unsigned kUnreachableAfter = 2; // requests in a row
+  static constexpr unsigned kEnoughSamples = 5;    // answers
 
   std::size_t m_slots;
   std::size_t m_running = 0;
   std::map<std::string, PeerUse> m_peers;
+  [[nodiscard]] double Turns(std::size_t aRunning) const noexcept;
+
   std::chrono::nanoseconds m_service{};
+  unsigned m_samples = 0;
   std::chrono::nanoseconds m_peerService{};
   double m_failures = 0.0;
   unsigned m_failuresInRow = 0;
