--- a/src/sapphirehook/gateway/endpoint_orders.cpp
+++ b/src/sapphirehook/gateway/endpoint_orders.cpp
@@ -33,6 +33,7 @@
   , m_life(aRecord.m_life)
   , m_address(aRecord.m_address)
   , m_events(std::move(aEvents))
+  , m_reconnectTimer(aLoop, [this] { m_reconnecting = false; })
   , m_answeredAt(BootClock::now())
 {
 }
@@ -68,7 +69,22 @@
 EndpointOrders::Grant(const EndpointGrant& aGrant)
 {
   m_queue.push_back(aGrant);
-  SendNext();
+  if (m_reconnecting) {
+    DropQueue();
+  } else {
+    SendNext();
+  }
+}
+
+/** Gives back grants that were written before the endpoint was found to be
+    connected to anew. */
+void
+EndpointOrders::DropQueue()
+{
+  const auto queue = std::exchange(m_queue, {});
+  for (const auto& grant : queue) {
+    m_events.m_onGrantEnd(grant.m_id, { OrderEnd::NotSent, "" });
+  }
 }
 
 void
@@ -84,10 +100,10 @@
       // must not be used again.
       m_connectedBefore = false;
       m_events.m_onNewConnection();
-      const auto queue = std::exchange(m_queue, {});
-      for (const auto& grant : queue) {
-        m_events.m_onGrantEnd(grant.m_id, { OrderEnd::NotSent, "" });
-      }
+      // Other orders of the same round are handed over before it ends.
+      m_reconnecting = true;
+      m_reconnectTimer.Start(std::chrono::nanoseconds(0));
+      DropQueue();
       return;
     }
     const auto grant = m_queue.front();
--- a/src/sapphirehook/gateway/endpoint_orders.hpp
+++ b/src/sapphirehook/gateway/endpoint_orders.hpp
@@ -47,6 +47,7 @@
 
 private:
   void SendNext();
+  void DropQueue();
   void NoteResult(const CallResult& aResult);
   [[nodiscard]] HttpClient* FreeGrantClient();
   [[nodiscard]] bool HasConnection() const;
@@ -59,11 +60,13 @@
   std::vector<std::unique_ptr<HttpClient>> m_grantClients;
   std::vector<std::unique_ptr<HttpClient>> m_releaseClients;
   std::deque<EndpointGrant> m_queue;
+  Timer m_reconnectTimer;
   TimePoint m_answeredAt;
   TimePoint m_triedAt{};
   unsigned m_unanswered = 0;
   TimePoint m_refusedAt{};
   bool m_connectedBefore = false;
+  bool m_reconnecting = false;
   bool m_dead = false;
 };
 
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -420,7 +420,7 @@
         [this, service, aEndpoint] {
           const auto led = m_led.find(service);
           if (led != m_led.end()) {
-            led->second.m_keeper.OnNewConnection(aEndpoint);
+            led->second.m_keeper.OnNewConnection(BootClock::now(), aEndpoint);
           }
         } });
   }
@@ -445,6 +445,7 @@
 Ownership::TickService(TimePoint aNow, const std::string& aName, Led& aLed)
 {
   aLed.m_keeper.SetEndpoints(KeeperEndpoints(aNow, aName));
+  aLed.m_keeper.SetProvenAt(m_leadership.ProvenAt());
   const auto actions = aLed.m_keeper.Tick(aNow);
   for (const auto& grant : actions.m_grants) {
     if (auto* orders = OrdersOf(grant.m_endpoint)) {
--- a/src/sapphirehook/gateway/upstream_connection.cpp
+++ b/src/sapphirehook/gateway/upstream_connection.cpp
@@ -111,7 +111,7 @@
   m_reusable = false;
   // One of the handlers may be what gives the attempt up.
   m_loop.Defer([events = std::exchange(m_events, {})] {});
-  m_stream.Close();
+  m_stream.Reset();
 }
 
 bool
--- a/src/sapphirehook/http1/client.cpp
+++ b/src/sapphirehook/http1/client.cpp
@@ -38,7 +38,7 @@
   : m_loop(aLoop)
   , m_peer(aPeer)
   , m_timer(aLoop, [this] {
-    CloseConnection();
+    ResetConnection();
     Finish(m_sent ? CallEnd::NoAnswer : CallEnd::NotSent);
   })
 {
@@ -147,6 +147,15 @@
   }
 }
 
+void
+HttpClient::ResetConnection()
+{
+  if (m_stream) {
+    m_stream->Reset();
+  }
+  CloseConnection();
+}
+
 void
 HttpClient::Finish(CallEnd aEnd)
 {
@@ -167,7 +176,7 @@
   m_timer.Stop();
   m_busy = false;
   m_handler = nullptr;
-  CloseConnection();
+  ResetConnection();
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/http1/client.hpp
+++ b/src/sapphirehook/http1/client.hpp
@@ -83,6 +83,8 @@
   void OnComplete();
   void Finish(CallEnd aEnd);
   void CloseConnection();
+  /** Closes so that a call which is still on its way does not arrive. */
+  void ResetConnection();
 
   EventLoop& m_loop;
   sockaddr_in m_peer;
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -55,6 +55,10 @@
     m_leader = aFrom;
     m_leaderHeardAt = aNow;
   }
+  if (m_leads && aLeads && aTerm > m_record.m_term) {
+    m_leads = false; // a later leader has claimed
+    m_idleSince = aNow;
+  }
   m_term = std::max(m_term, aTerm);
   auto& run = m_runs[aFrom.m_host];
   if (aFrom.m_incarnation > run.m_incarnation) {
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -38,6 +38,8 @@
   Millis m_stagger{ 250 };
   /** How long a grant may last on the endpoint's clock. */
   Millis m_hold{ 4000 };
+  /** An order reaches its endpoint within this time, or not at all. */
+  Millis m_orderLasts{ 400 };
   unsigned m_driftPpm = 20'000;
 };
 
@@ -101,6 +103,9 @@
     return m_foreignEnds;
   }
 
+  /** Last time at which the store proved that no later leader has claimed. */
+  [[nodiscard]] TimePoint ProvenAt() const noexcept { return m_provenAt; }
+
   /** Highest term known. */
   [[nodiscard]] Term HighestTerm() const noexcept { return m_term; }
 
@@ -111,7 +116,8 @@
   [[nodiscard]] TimePoint PredecessorEnds(TimePoint aNow) const;
   [[nodiscard]] std::chrono::nanoseconds HoldEnd() const noexcept
   {
-    return WithDrift(m_times.m_hold, m_times.m_driftPpm);
+    return m_times.m_orderLasts +
+           WithDrift(m_times.m_hold, m_times.m_driftPpm);
   }
 
   LeadershipTimes m_times;
--- a/src/sapphirehook/keys/range_keeper.hpp
+++ b/src/sapphirehook/keys/range_keeper.hpp
@@ -17,6 +17,9 @@
   Millis m_hold{ 4000 };
   /** A grant is renewed this long after it was answered. */
   Millis m_renewEvery{ 1200 };
+  /** An order reaches its endpoint within this time of being sent, or not at
+      all: its connection is reset then. */
+  Millis m_orderLasts{ 400 };
   /** Wait before an order that failed is tried again. */
   Millis m_retryAfter{ 150 };
   /** An endpoint's clock may be slow by this much. */
@@ -38,6 +41,12 @@
   /** After a new connection the endpoint may be in another life, so its
       ranges get new fences. */
   static constexpr bool kFenceNewConnection = true;
+  /** A leader that may have been replaced grants nothing to an endpoint that
+      may have started again. */
+  static constexpr bool kProofForNewConnection = true;
+  /** An endpoint that has started again may hold what its earlier life was
+      granted, until it has released it. */
+  static constexpr bool kFollowOwner = true;
 };
 
 /** What the keeper knows of an endpoint that may hold ranges. */
@@ -104,8 +113,13 @@
   /** Replaces what is known of the endpoints. */
   void SetEndpoints(const std::vector<KeeperEndpoint>& aEndpoints);
 
-  /** An endpoint was connected to anew: it may have started again. */
-  void OnNewConnection(const std::string& aEndpoint);
+  /** An endpoint was connected to anew: it may have started again. Its ranges
+      wait for a proof of leadership that is younger than this, since another
+      leader may have granted them with higher fences to the life before. */
+  void OnNewConnection(TimePoint aNow, const std::string& aEndpoint);
+
+  /** The store proved at a time that no later leader has claimed. */
+  void SetProvenAt(TimePoint aProvenAt) noexcept { m_provenAt = aProvenAt; }
 
   void OnGrantEnd(TimePoint aNow, std::uint64_t aId, const OrderAnswer& aAnswer);
   void OnReleaseEnd(TimePoint aNow,
@@ -177,6 +191,8 @@
     std::uint64_t m_grantId = 0;
     std::uint64_t m_releaseId = 0;
     bool m_needsFence = true;
+    /** A grant needs a proof of leadership from this time or later. */
+    TimePoint m_proofAfter{};
     bool m_granted = false;
     std::string m_handover;
   };
@@ -189,10 +205,15 @@
   [[nodiscard]] const KeeperEndpoint* ChooseTarget(const Range& aRange);
   [[nodiscard]] bool OwnerStays(const Range& aRange) const;
   [[nodiscard]] bool OwnerIsDead(const Range& aRange) const;
+  void FollowOwner(Range& aRange);
   void BeginMove(TimePoint aNow, Range& aRange, const EndpointLife& aTo);
   void TickHeld(TimePoint aNow, Range& aRange, KeeperActions& aActions);
   void TickReleasing(TimePoint aNow, Range& aRange, KeeperActions& aActions);
   void SendGrant(Range& aRange, KeeperActions& aActions);
+  [[nodiscard]] bool MayGrant(const Range& aRange) const noexcept
+  {
+    return !Rules::kProofForNewConnection || m_provenAt >= aRange.m_proofAfter;
+  }
   void Publish(const Range& aRange);
   void CutBefore(Key aKey);
   void SetGranted(Range& aRange, bool aGranted);
@@ -201,6 +222,7 @@
   KeeperTimes m_times;
   Fence m_nextFence;
   TimePoint m_foreignEnds;
+  TimePoint m_provenAt{};
   std::uint64_t m_nextId = 1;
   std::map<Key, Range> m_ranges;
   std::map<EndpointLife, KeeperEndpoint> m_endpoints;
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -135,14 +135,34 @@
   if (aRange.m_owner.m_name.empty()) {
     return true; // no endpoint has ever held it
   }
+  if constexpr (!Rules::kFollowOwner) {
+    const auto later = m_endpoints.upper_bound(aRange.m_owner);
+    if (later != m_endpoints.end() &&
+        later->first.m_name == aRange.m_owner.m_name) {
+      return true;
+    }
+  }
   const auto* owner = Endpoint(aRange.m_owner);
-  if (owner != nullptr) {
-    return owner->m_dead;
+  return owner != nullptr && owner->m_dead;
+}
+
+/** Follows an owner into its next life. That life may hold the range already,
+    by a grant that was meant for the one before and found it at the same
+    address, so the range stays with it and is released like any other. */
+template<typename Rules>
+void
+BasicRangeKeeper<Rules>::FollowOwner(Range& aRange)
+{
+  if constexpr (Rules::kFollowOwner) {
+    const auto later = m_endpoints.upper_bound(aRange.m_owner);
+    if (later != m_endpoints.end() &&
+        later->first.m_name == aRange.m_owner.m_name) {
+      aRange.m_owner = later->first;
+      aRange.m_needsFence = true;
+      aRange.m_dueAt = {};
+      SetGranted(aRange, false);
+    }
   }
-  // A later life under the same name proves that this one has ended.
-  const auto later = m_endpoints.upper_bound(aRange.m_owner);
-  return later != m_endpoints.end() &&
-         later->first.m_name == aRange.m_owner.m_name;
 }
 
 template<typename Rules>
@@ -155,12 +175,14 @@
 
 template<typename Rules>
 void
-BasicRangeKeeper<Rules>::OnNewConnection(const std::string& aEndpoint)
+BasicRangeKeeper<Rules>::OnNewConnection(TimePoint aNow,
+                                         const std::string& aEndpoint)
 {
   if constexpr (Rules::kFenceNewConnection) {
     for (auto& [first, range] : m_ranges) {
       if (range.m_owner.m_name == aEndpoint) {
         range.m_needsFence = true;
+        range.m_proofAfter = aNow;
       }
     }
   }
@@ -321,6 +343,9 @@
   KeeperActions actions;
   CountKeys();
   for (auto& [first, range] : m_ranges) {
+    if (range.m_phase == Phase::Held || range.m_phase == Phase::Releasing) {
+      FollowOwner(range);
+    }
     if (range.m_phase == Phase::Held) {
       TickHeld(aNow, range, actions);
     }
@@ -348,7 +373,7 @@
     }
     return;
   }
-  if (aRange.m_grantId == 0 && aNow >= aRange.m_dueAt) {
+  if (aRange.m_grantId == 0 && aNow >= aRange.m_dueAt && MayGrant(aRange)) {
     SendGrant(aRange, aActions);
   }
 }
@@ -389,8 +414,10 @@
     return;
   }
   if (Rules::kFenceBeforeRelease && MayApplyLate(aNow, aRange)) {
-    aRange.m_needsFence = true;
-    SendGrant(aRange, aActions);
+    if (MayGrant(aRange)) {
+      aRange.m_needsFence = true;
+      SendGrant(aRange, aActions);
+    }
     return;
   }
   aRange.m_releaseId = m_nextId++;
@@ -505,7 +532,8 @@
 TimePoint
 BasicRangeKeeper<Rules>::AllGrantsEnd(TimePoint aNow) const
 {
-  return aNow + WithDrift(m_times.m_hold, m_times.m_driftPpm);
+  return aNow + m_times.m_orderLasts +
+         WithDrift(m_times.m_hold, m_times.m_driftPpm);
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -146,6 +146,16 @@
   m_connected = false;
 }
 
+void
+TcpStream::Reset()
+{
+  if (m_socket >= 0) {
+    const linger atOnce{ 1, 0 };
+    setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+  }
+  Close();
+}
+
 void
 TcpStream::CloseAfterWrite()
 {
--- a/src/sapphirehook/net/tcp_stream.hpp
+++ b/src/sapphirehook/net/tcp_stream.hpp
@@ -63,6 +63,9 @@
   /** Closes at once, without a call to m_onEnd. */
   void Close();
 
+  /** Closes with a reset: bytes that have not arrived yet never will. */
+  void Reset();
+
   /** Sends what is written, then closes the sending side and drops what the
       peer still sends, for at most the linger time. */
   void CloseAfterWrite();
--- /dev/null
+++ b/test/sapphirehook/keys/range_planner.cpp
@@ -0,0 +1,167 @@
+#include "sapphirehook/keys/range_planner.hpp"
+
+#include "support/generate.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirehook;
+
+namespace {
+
+constexpr TimePoint
+At(int aMillis)
+{
+  return TimePoint(Millis(aMillis));
+}
+
+/** Requests a second that an endpoint of usual speed can work off. */
+constexpr double kCapacity = 60.0;
+
+std::vector<PlannerEndpoint>
+Endpoints(int aCount)
+{
+  std::vector<PlannerEndpoint> endpoints;
+  for (int i = 0; i < aCount; ++i) {
+    endpoints.push_back({ "e" + std::to_string(i), kCapacity });
+  }
+  return endpoints;
+}
+
+/** Ranges of equal size, dealt out in turn. */
+std::vector<RangeKeeper::Held>
+Dealt(int aRanges, int aEndpoints)
+{
+  std::vector<RangeKeeper::Held> ranges;
+  const std::uint32_t size = kKeyCount / static_cast<std::uint32_t>(aRanges);
+  for (int i = 0; i < aRanges; ++i) {
+    const auto first = static_cast<std::uint32_t>(i) * size;
+    ranges.push_back({ { static_cast<Key>(first),
+                         static_cast<Key>(first + size - 1) },
+                       "e" + std::to_string(i % aEndpoints),
+                       false });
+  }
+  return ranges;
+}
+
+/** Applies moves to a list of ranges. */
+std::vector<RangeKeeper::Held>
+Applied(const std::vector<RangeKeeper::Held>& aRanges,
+        const std::vector<PlannedMove>& aMoves)
+{
+  RangeMap map;
+  for (const auto& range : aRanges) {
+    map.Assign({ range.m_range, range.m_endpoint, true });
+  }
+  for (const auto& move : aMoves) {
+    map.Assign({ move.m_range, move.m_to, true });
+  }
+  std::vector<RangeKeeper::Held> applied;
+  for (const auto& route : map.All()) {
+    applied.push_back({ route.m_range, route.m_endpoint, false });
+  }
+  return applied;
+}
+
+double
+HighestShare(const RangePlanner& aPlanner,
+             const std::vector<RangeKeeper::Held>& aRanges)
+{
+  std::map<std::string, double> rates;
+  for (const auto& range : aRanges) {
+    rates[range.m_endpoint] += aPlanner.Rate(range.m_range);
+  }
+  double highest = 0.0;
+  for (const auto& [endpoint, rate] : rates) {
+    highest = std::max(highest, rate / kCapacity);
+  }
+  return highest;
+}
+
+} // namespace
+
+TEST_CASE("a hot range of neighbouring keys is spread at once", "[keys][crest]")
+{
+  // 500 requests a second, 40% of them on 60 neighbouring keys.
+  std::mt19937 random(5);
+  RangePlanner planner(PlannerConfig{});
+  const auto endpoints = Endpoints(15);
+  auto ranges = Dealt(96, 15);
+  int now = 0;
+  const auto play = [&](int aMillis) {
+    for (int passed = 0; passed < aMillis; passed += 200) {
+      now += 200;
+      std::vector<KeyCount> counts;
+      for (int i = 0; i < 100; ++i) {
+        const bool hot = support::Draw(random, 10) < 4;
+        const auto key = hot ? 20'000 + support::Draw(random, 60)
+                             : support::Draw(random, kKeyCount);
+        counts.push_back({ static_cast<Key>(key), 1 });
+      }
+      planner.Add(counts);
+      planner.Advance(At(now));
+      ranges = Applied(ranges, planner.Plan(ranges, endpoints));
+    }
+  };
+  play(1000);
+  CHECK(HighestShare(planner, ranges) < 1.0);
+  play(1000);
+  CHECK(HighestShare(planner, ranges) < 0.9);
+}
+
+TEST_CASE("a single hot key does not go back and forth", "[keys][crest]")
+{
+  // One key gets more than any endpoint can do.
+  RangePlanner planner(PlannerConfig{});
+  const auto endpoints = Endpoints(15);
+  auto ranges = Dealt(96, 15);
+  int movesOfKey = 0;
+  for (int round = 1; round <= 30; ++round) {
+    planner.Add({ { 777, 25 } });
+    planner.Advance(At(round * 200));
+    const auto moves = planner.Plan(ranges, endpoints);
+    for (const auto& move : moves) {
+      movesOfKey += move.m_range.Contains(777) ? 1 : 0;
+    }
+    ranges = Applied(ranges, moves);
+  }
+  CHECK(movesOfKey <= 1);
+}
+
+TEST_CASE("an endpoint without a range is given its part", "[keys]")
+{
+  RangePlanner planner(PlannerConfig{});
+  planner.Advance(At(200));
+  auto ranges = Dealt(96, 15);
+  ranges = Applied(ranges, planner.Plan(ranges, Endpoints(16)));
+  std::uint32_t keys = 0;
+  for (const auto& range : ranges) {
+    keys += range.m_endpoint == "e15" ? range.m_range.Size() : 0;
+  }
+  CHECK(keys > kKeyCount / 16 / 3);
+}
+
+TEST_CASE("the counter is exact while it has room, and never too low",
+          "[keys]")
+{
+  std::mt19937 random(2);
+  for (const std::size_t counters : { 8U, 64U }) {
+    HotKeyCounter counter(counters);
+    std::map<Key, std::uint32_t> naive;
+    for (int i = 0; i < 400; ++i) {
+      const auto key = static_cast<Key>(
+        support::Draw(random, 2) == 0 ? support::Draw(random, 4)
+                                      : support::Draw(random, 40));
+      counter.Count(key);
+      ++naive[key];
+    }
+    const auto counts = counter.Take();
+    CHECK(counts.size() <= counters);
+    for (const auto& one : counts) {
+      CHECK(one.m_count >= naive[one.m_key]);
+      CHECK(one.m_count <= naive[one.m_key] + 400 / counters);
+      if (counters >= naive.size()) {
+        CHECK(one.m_count == naive[one.m_key]);
+      }
+    }
+  }
+}
