--- a/src/sapphirehook/core/event_log.cpp
+++ b/src/sapphirehook/core/event_log.cpp
@@ -56,8 +56,7 @@
 LogLine&
 LogLine::Add(std::string_view aName, std::chrono::nanoseconds aSpan)
 {
-  return AddNumber(aName,
-                   std::chrono::duration_cast<Millis>(aSpan).count());
+  return AddNumber(aName, std::chrono::duration_cast<Millis>(aSpan).count());
 }
 
 LogLine&
--- a/src/sapphirehook/daemon/decision_loop.hpp
+++ b/src/sapphirehook/daemon/decision_loop.hpp
@@ -3,8 +3,8 @@
 
 #include "sapphirehook/daemon/request_router.hpp"
 #include "sapphirehook/daemon/status.hpp"
-#include "sapphirehook/operator/timeline.hpp"
 #include "sapphirehook/log/log_service.hpp"
+#include "sapphirehook/operator/timeline.hpp"
 
 #include <future>
 
--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -181,11 +181,9 @@
 CallerConnection::OnTimer()
 {
   const auto self = shared_from_this();
-  if (m_finishing) {
-    Close();
-  } else if (m_parser.IsInMessage() && !m_headRead) {
+  if (!m_finishing && m_parser.IsInMessage() && !m_headRead) {
     Refuse(kTimeout, "request head took too long");
-  } else if (!IsBusy()) {
+  } else if (m_finishing || !IsBusy()) {
     Close();
   }
 }
--- a/src/sapphirehook/gateway/endpoint_orders.cpp
+++ b/src/sapphirehook/gateway/endpoint_orders.cpp
@@ -58,8 +58,7 @@
     }
   }
   if (m_grantClients.size() < kGrantClients) {
-    m_grantClients.push_back(
-      std::make_unique<HttpClient>(m_loop, m_address));
+    m_grantClients.push_back(std::make_unique<HttpClient>(m_loop, m_address));
     return m_grantClients.back().get();
   }
   return nullptr;
@@ -112,8 +111,7 @@
                  kGrantTimeout,
                  [this, id = grant.m_id](const CallResult& aResult) {
                    NoteResult(aResult);
-                   m_events.m_onGrantEnd(id,
-                                         m_protocol.m_parseOrder(aResult));
+                   m_events.m_onGrantEnd(id, m_protocol.m_parseOrder(aResult));
                    SendNext();
                  });
   }
@@ -129,8 +127,7 @@
     }
   }
   if (client == nullptr) {
-    m_releaseClients.push_back(
-      std::make_unique<HttpClient>(m_loop, m_address));
+    m_releaseClients.push_back(std::make_unique<HttpClient>(m_loop, m_address));
     client = m_releaseClients.back().get();
   }
   client->Call(m_protocol.m_release(aRelease.m_order),
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -14,6 +14,12 @@
 constexpr ReaderTimes kReads{ Millis(8000), Millis(60) };
 /** The same for the leader, which finds a silent connection sooner. */
 constexpr ReaderTimes kLeaderReads{ Millis(2000), Millis(60) };
+/** Up to this many daemons each one tells all others of itself; beyond, all
+    tell the leader, which keeps the number of messages linear. */
+constexpr std::size_t kSmallFleet = 16;
+/** Pause after records in a large fleet, where each change is a call for each
+    daemon. */
+constexpr Millis kGatherInLargeFleet{ 400 };
 /** A daemon this long behind its peers in a topic reads anew. */
 constexpr Millis kBehindFor{ 300 };
 /** An entry that may have lapsed counts as removed this long before a leaving
@@ -112,8 +118,7 @@
   , m_callers(m_loop, [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
   , m_ready(m_loop,
             [this](const std::string& aTarget) {
-              const bool ready =
-                aTarget == m_protocol.m_readyPath && IsReady();
+              const bool ready = aTarget == m_protocol.m_readyPath && IsReady();
               return StatusServer::Reply{ ready ? kOk : kUnavailable,
                                           ready ? "ready" : "not ready" };
             })
@@ -168,6 +173,12 @@
   m_log.Flush();
 }
 
+bool
+Gateway::IsLargeFleet() const noexcept
+{
+  return m_daemons > kSmallFleet;
+}
+
 bool
 Gateway::IsReady() const
 {
@@ -293,7 +304,7 @@
 {
   if (const auto* beat = std::get_if<Beat>(&aMessage)) {
     const TimePoint now = BootClock::now();
-    m_engine.OnPeerUse(now, aFrom.m_host, beat->m_uses);
+    TakeUse(now, aFrom, *beat);
     if (!beat->m_storeWorks) {
       m_peerTroubleAt = now;
     }
@@ -305,6 +316,25 @@
   }
 }
 
+/** In a large fleet only the leader knows every daemon's use; it tells all of
+    them the totals. */
+void
+Gateway::TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat)
+{
+  if (aBeat.m_leads && aBeat.m_daemons > 0) {
+    m_daemons = aBeat.m_daemons;
+  }
+  if (IsLargeFleet() && aBeat.m_leads) {
+    std::map<std::uint32_t, std::uint32_t> totals;
+    for (const auto& total : aBeat.m_totals) {
+      totals[total.m_endpointHash] = total.m_running;
+    }
+    m_engine.OnFleetUse(aNow, totals);
+  } else if (!IsLargeFleet() || m_ownership.Leads()) {
+    m_engine.OnPeerUse(aNow, aFrom.m_host, aBeat.m_uses);
+  }
+}
+
 /** Reads anew when a peer has been ahead for a while: the connection of the
     read under way may have gone silent. */
 void
@@ -348,10 +378,29 @@
   beat.m_ends[m_protocol.m_configTopic] = m_configReader.End();
   beat.m_ends[m_protocol.m_endpointTopic] = m_endpointReader.End();
   m_ownership.FillBeat(beat);
-  m_gossip.SendAll(now, beat);
+  const auto leader = m_ownership.Leader(now);
+  if (IsLargeFleet() && beat.m_leads) {
+    beat.m_uses.clear();
+    for (const auto& [hash, running] : m_engine.Totals(now)) {
+      beat.m_totals.push_back({ hash, running });
+    }
+  }
+  if (IsLargeFleet() && leader && !beat.m_leads) {
+    m_gossip.SendTo(leader->m_host, beat);
+    beat.m_uses.clear();
+    m_gossip.SendNext(beat);
+  } else {
+    m_gossip.SendAll(now, beat);
+  }
   m_ownership.ReportKeys();
-  m_engine.SetDaemons(m_gossip.AliveDaemons(now));
-  const auto times = m_ownership.Leads() ? kLeaderReads : kReads;
+  if (!IsLargeFleet() || beat.m_leads) {
+    m_daemons = m_gossip.AliveDaemons(now);
+  }
+  m_engine.SetDaemons(m_daemons);
+  auto times = m_ownership.Leads() ? kLeaderReads : kReads;
+  if (IsLargeFleet()) {
+    times.m_gather = kGatherInLargeFleet;
+  }
   m_configReader.SetTimes(times);
   m_endpointReader.SetTimes(times);
   m_log.Flush();
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -38,10 +38,12 @@
   void OnStoreTrouble(std::string_view aTopic, StoreAnswer aAnswer);
   void OnStoreWorks(std::string_view aTopic);
   void OnMessage(const HostId& aFrom, const GossipMessage& aMessage);
+  void TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void SendBeat();
   void CompareEnds(const Beat& aBeat);
   void OnStopTick();
   [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] bool IsLargeFleet() const noexcept;
   [[nodiscard]] bool MayHaveLapsed(TimePoint aNow) const;
   [[nodiscard]] std::string Metrics() const;
 
@@ -63,6 +65,7 @@
   Timer m_stopTimer;
   Timer m_directoryTimer;
   std::uint64_t m_configVersion = 0;
+  std::size_t m_daemons = 1;
   bool m_storeWorks = false;
   TimePoint m_troubleAt{};
   TimePoint m_peerTroubleAt{};
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -33,6 +33,8 @@
 constexpr Millis kGatherEndpoints{ 400 };
 /** Terms are this far apart in fences: more than a term's changes. */
 constexpr unsigned kFenceTermBits = 22;
+/** Daemons that a leader names to claim after it. */
+constexpr std::size_t kHeirs = 4;
 /** Ranges beyond which no more are cut. */
 constexpr std::size_t kMaxRanges = 900;
 
@@ -185,17 +187,15 @@
   after.OnClaimed(BootClock::now(), m_claimTerm);
   const auto earlier = std::chrono::duration_cast<Millis>(
     after.ForeignGrantsEnd() - BootClock::now());
-  const LeaderRecord record{ m_claimTerm,
-                             m_gossip.Self(),
-                             0,
-                             std::max<std::int64_t>(earlier.count(), 0) };
-  m_writer.Call(
-    m_protocol.m_store.m_append(
-      kTopic, aEnd, { { 0, kLeaderKey, Pack(record) } }),
-    kStoreTimeout,
-    [this](const CallResult& aResult) {
-      OnClaimAppend(m_protocol.m_store.m_parseAppend(aResult));
-    });
+  const LeaderRecord record{
+    m_claimTerm, m_gossip.Self(), 0, std::max<std::int64_t>(earlier.count(), 0)
+  };
+  m_writer.Call(m_protocol.m_store.m_append(
+                  kTopic, aEnd, { { 0, kLeaderKey, Pack(record) } }),
+                kStoreTimeout,
+                [this](const CallResult& aResult) {
+                  OnClaimAppend(m_protocol.m_store.m_parseAppend(aResult));
+                });
 }
 
 void
@@ -231,11 +231,10 @@
     m_settings.m_store,
     kTopic,
     kLeaderReads,
-    TopicEvents{ [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
-                 [this](Offset, TimePoint aProvenAt) {
-                   m_leadership.OnProof(aProvenAt);
-                 },
-                 [](StoreAnswer) {} });
+    TopicEvents{
+      [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
+      [this](Offset, TimePoint aProvenAt) { m_leadership.OnProof(aProvenAt); },
+      [](StoreAnswer) {} });
   m_reader->Start();
   m_timer.StartEvery(kLeaderTick);
   m_planTimer.StartEvery(kPlanEvery);
@@ -282,9 +281,8 @@
   if (!m_reader) {
     return;
   }
-  m_log.Write(LogLine("stops-leading")
-                .Add("term", m_claimTerm)
-                .Add("why", aWhy));
+  m_log.Write(
+    LogLine("stops-leading").Add("term", m_claimTerm).Add("why", aWhy));
   for (auto& [name, led] : m_led) {
     m_followed[name].m_version = { m_claimTerm, led.m_changes };
   }
@@ -333,12 +331,11 @@
       continue;
     }
     const Fence first = (m_claimTerm << kFenceTermBits) + 1;
-    auto& led = m_led
-                  .try_emplace(name,
-                               m_settings.m_keeper,
-                               first,
-                               m_leadership.ForeignGrantsEnd())
-                  .first->second;
+    auto& led =
+      m_led
+        .try_emplace(
+          name, m_settings.m_keeper, first, m_leadership.ForeignGrantsEnd())
+        .first->second;
     const std::string prefix = kRangePrefix + name + "/";
     for (const auto& [key, value] : m_stored) {
       if (key.compare(0, prefix.size(), prefix) != 0) {
@@ -376,8 +373,7 @@
     endpoint.m_life = known.m_record.m_life;
     endpoint.m_usable = m_directory.IsUsable(aNow, known);
     const auto orders = m_orders.find(name);
-    if (orders != m_orders.end() &&
-        orders->second->Life() == endpoint.m_life) {
+    if (orders != m_orders.end() && orders->second->Life() == endpoint.m_life) {
       endpoint.m_silent = orders->second->IsSilent(aNow);
       endpoint.m_dead = orders->second->IsDead();
     }
@@ -392,8 +388,7 @@
 {
   const auto* known = m_directory.Find(aEndpoint);
   auto& orders = m_orders[aEndpoint];
-  if (known != nullptr && orders &&
-      orders->Life() != known->m_record.m_life) {
+  if (known != nullptr && orders && orders->Life() != known->m_record.m_life) {
     m_loop.Retire(std::shared_ptr<EndpointOrders>(std::move(orders)));
   }
   if (known != nullptr && !orders) {
@@ -463,8 +458,7 @@
     if (auto* orders = OrdersOf(release.m_endpoint)) {
       orders->Release(release);
     } else {
-      aLed.m_keeper.OnReleaseEnd(
-        aNow, release.m_id, { OrderEnd::NotSent, "" });
+      aLed.m_keeper.OnReleaseEnd(aNow, release.m_id, { OrderEnd::NotSent, "" });
     }
   }
   PublishRoutes(aName, aLed, actions.m_routes);
@@ -482,8 +476,7 @@
   for (const auto& route : aRoutes) {
     m_engine.SetRange(aService, route);
   }
-  for (std::size_t first = 0; first < aRoutes.size();
-       first += kRoutesPerPage) {
+  for (std::size_t first = 0; first < aRoutes.size(); first += kRoutesPerPage) {
     RouteChange change;
     change.m_service = aService;
     change.m_from = { m_claimTerm, aLed.m_changes };
@@ -513,18 +506,17 @@
     std::vector<PlannerEndpoint> endpoints;
     for (const auto& endpoint : KeeperEndpoints(now, name)) {
       if (endpoint.m_usable && !endpoint.m_silent && !endpoint.m_dead) {
-        endpoints.push_back(
-          { endpoint.m_life.m_name, endpoint.m_capacity });
+        endpoints.push_back({ endpoint.m_life.m_name, endpoint.m_capacity });
       }
     }
     const auto moves = led.m_planner.Plan(ranges, endpoints);
     for (const auto& move : moves) {
-      m_log.Write(LogLine("range-moves")
-                    .Add("first", move.m_range.m_first)
-                    .Add("last", move.m_range.m_last)
-                    .Add("rate", static_cast<int>(
-                                   led.m_planner.Rate(move.m_range)))
-                    .Add("to", move.m_to));
+      m_log.Write(
+        LogLine("range-moves")
+          .Add("first", move.m_range.m_first)
+          .Add("last", move.m_range.m_last)
+          .Add("rate", static_cast<int>(led.m_planner.Rate(move.m_range)))
+          .Add("to", move.m_to));
       led.m_keeper.Move(now, move.m_range, move.m_to);
     }
   }
@@ -542,10 +534,10 @@
       continue;
     }
     for (const auto& block : led.m_keeper.BeginStore()) {
-      m_appending.push_back({ 0,
-                              kRangePrefix + name + "/" +
-                                std::to_string(block.m_block),
-                              Pack(block.m_assignments) });
+      m_appending.push_back(
+        { 0,
+          kRangePrefix + name + "/" + std::to_string(block.m_block),
+          Pack(block.m_assignments) });
     }
   }
   if (m_appending.empty()) {
@@ -665,6 +657,16 @@
   for (const auto& [name, led] : m_led) {
     aBeat.m_maps[name] = { m_claimTerm, led.m_changes };
   }
+  if (aBeat.m_leads) {
+    const TimePoint now = BootClock::now();
+    aBeat.m_daemons = static_cast<std::uint32_t>(m_gossip.AliveDaemons(now));
+    for (const auto& [host, peer] : m_gossip.Peers()) {
+      if (Gossip::IsAlive(now, peer) && peer.m_storeWorks && !peer.m_stopping &&
+          aBeat.m_heirs.size() < kHeirs) {
+        aBeat.m_heirs.push_back(host);
+      }
+    }
+  }
 }
 
 void
@@ -688,8 +690,7 @@
   const TimePoint now = BootClock::now();
   const auto leader = m_leadership.Leader(now);
   auto& followed = m_followed[aService];
-  if (!leader || m_leadership.Leads() ||
-      now < followed.m_askedAt + kAskEvery) {
+  if (!leader || m_leadership.Leads() || now < followed.m_askedAt + kAskEvery) {
     return;
   }
   followed.m_askedAt = now;
@@ -731,6 +732,7 @@
   if (!aBeat.m_leads || m_leadership.Leads()) {
     return;
   }
+  m_leadership.SetHeirs(aBeat.m_heirs);
   for (const auto& [name, version] : aBeat.m_maps) {
     if (m_followed[name].m_version < version) {
       AskForMap(name);
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -65,6 +65,12 @@
 
   [[nodiscard]] bool Leads() const noexcept { return m_leadership.Leads(); }
 
+  /** The leader last heard of; empty when it has been silent. */
+  [[nodiscard]] std::optional<HostId> Leader(TimePoint aNow) const
+  {
+    return m_leadership.Leader(aNow);
+  }
+
   /** Whether this daemon knows where the keys of all keyed services are. */
   [[nodiscard]] bool KnowsMaps() const;
 
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -1,5 +1,7 @@
 #include "sapphirehook/gateway/request_engine.hpp"
 
+#include "sapphirehook/core/hash.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -35,6 +37,15 @@
 /** Time after which a refused caller should come back. */
 constexpr Millis kRetryAfter{ 120 };
 
+/** Name under which the use by all other daemons together is kept. */
+constexpr const char* kFleet = "fleet";
+
+std::uint32_t
+ShortHash(const std::string& aName)
+{
+  return static_cast<std::uint32_t>(StableHash(aName));
+}
+
 std::string
 SecondsText(std::chrono::nanoseconds aSpan)
 {
@@ -63,10 +74,10 @@
 std::string_view
 EndName(AttemptEnd aEnd)
 {
-  constexpr std::array<std::string_view, 7> kNames{
-    "answered", "failed", "not-run", "misdirected",
-    "not-sent", "lost",   "abandoned"
-  };
+  constexpr std::array<std::string_view, 7> kNames{ "answered", "failed",
+                                                    "not-run",  "misdirected",
+                                                    "not-sent", "lost",
+                                                    "abandoned" };
   return kNames.at(static_cast<std::size_t>(aEnd));
 }
 
@@ -186,6 +197,31 @@
   }
 }
 
+void
+RequestEngine::OnFleetUse(TimePoint aNow,
+                          const std::map<std::uint32_t, std::uint32_t>& aTotals)
+{
+  for (auto& [name, endpoint] : m_endpoints) {
+    const auto found = aTotals.find(ShortHash(name));
+    const std::size_t total = found == aTotals.end() ? 0 : found->second;
+    const auto own = endpoint->m_load.OwnRunning();
+    endpoint->m_load.OnPeer(aNow, kFleet, total > own ? total - own : 0);
+  }
+}
+
+std::map<std::uint32_t, std::uint32_t>
+RequestEngine::Totals(TimePoint aNow) const
+{
+  std::map<std::uint32_t, std::uint32_t> totals;
+  for (const auto& [name, endpoint] : m_endpoints) {
+    const auto running = endpoint->m_load.Running(aNow);
+    if (running * 2 >= endpoint->m_load.Slots()) {
+      totals[ShortHash(name)] = static_cast<std::uint32_t>(running);
+    }
+  }
+  return totals;
+}
+
 std::vector<EndpointUse>
 RequestEngine::Uses() const
 {
@@ -193,12 +229,12 @@
   for (const auto& [name, endpoint] : m_endpoints) {
     const auto running = endpoint->m_load.OwnRunning();
     if (running > 0) {
-      uses.push_back({ name,
-                       static_cast<std::uint32_t>(running),
-                       static_cast<std::uint32_t>(
-                         std::chrono::duration_cast<Millis>(
-                           endpoint->m_load.ServiceTime())
-                           .count()) });
+      uses.push_back(
+        { name,
+          static_cast<std::uint32_t>(running),
+          static_cast<std::uint32_t>(
+            std::chrono::duration_cast<Millis>(endpoint->m_load.ServiceTime())
+              .count()) });
     }
   }
   return uses;
@@ -361,8 +397,7 @@
     const auto* text = FindHeader(headers, m_protocol.m_keyHeader);
     const auto key = text != nullptr ? ParseWholeNumber(*text) : std::nullopt;
     if (!key || *key >= kKeyCount) {
-      AnswerDirectly(
-        *transaction.m_sink, kBadRequest, "no key", std::nullopt);
+      AnswerDirectly(*transaction.m_sink, kBadRequest, "no key", std::nullopt);
       return false;
     }
     transaction.m_key = static_cast<Key>(*key);
@@ -466,8 +501,8 @@
     return std::pair(aLeft->m_route->m_priority, aLeft->m_objectiveAt) <
            std::pair(aRight->m_route->m_priority, aRight->m_objectiveAt);
   };
-  const auto at = std::upper_bound(
-    waiting.begin(), waiting.end(), aTransaction, isBefore);
+  const auto at =
+    std::upper_bound(waiting.begin(), waiting.end(), aTransaction, isBefore);
   waiting.insert(at, aTransaction);
   aTransaction->m_waiting = true;
 }
@@ -532,8 +567,8 @@
       AppendHeader(text, header.m_name, header.m_value);
     }
   }
-  const auto left = std::chrono::duration_cast<Millis>(
-    aTransaction.m_callerDeadline - aNow);
+  const auto left =
+    std::chrono::duration_cast<Millis>(aTransaction.m_callerDeadline - aNow);
   AppendHeader(text,
                m_protocol.m_deadlineHeader,
                std::to_string(std::max<Millis::rep>(left.count(), 1)));
@@ -642,8 +677,7 @@
     return;
   }
   const auto found = m_endpoints.find(aTransaction->m_sentTo);
-  if (found != m_endpoints.end() &&
-      found->second->m_idle.size() < kMaxIdle &&
+  if (found != m_endpoints.end() && found->second->m_idle.size() < kMaxIdle &&
       connection->IsReusable(BootClock::now())) {
     found->second->m_idle.push_back(std::move(connection));
   } else {
@@ -700,8 +734,8 @@
 void
 RequestEngine::OnFault(const TransactionPtr& aTransaction, UpstreamFault aFault)
 {
-  const bool sent = aFault != UpstreamFault::Refused &&
-                    aFault != UpstreamFault::NotConnected;
+  const bool sent =
+    aFault != UpstreamFault::Refused && aFault != UpstreamFault::NotConnected;
   const auto end = sent ? AttemptEnd::Lost : AttemptEnd::NotSent;
   EndAttempt(BootClock::now(), aTransaction, end);
   if (aTransaction->m_done) {
@@ -767,9 +801,9 @@
                 .Add("sends", transaction.m_sends)
                 .Add("left_ms", state.m_timeLeft));
   auto& budget = ServiceOf(transaction.m_service).m_budget;
-  const bool again = step == NextStep::SendAgain ||
-                     (step == NextStep::SendAgainOnBudget &&
-                      budget.TryTake(now));
+  const bool again =
+    step == NextStep::SendAgain ||
+    (step == NextStep::SendAgainOnBudget && budget.TryTake(now));
   if (again) {
     m_counts.m_repeats += step == NextStep::SendAgainOnBudget ? 1 : 0;
     transaction.m_waitsFrom = now;
@@ -787,8 +821,8 @@
 RequestEngine::WaitsUntil(const Transaction& aTransaction)
 {
   const auto& route = *aTransaction.m_route;
-  const auto most = std::chrono::nanoseconds(
-    static_cast<std::chrono::nanoseconds::rep>(
+  const auto most =
+    std::chrono::nanoseconds(static_cast<std::chrono::nanoseconds::rep>(
       kWaitPart * static_cast<double>(
                     std::chrono::nanoseconds(route.m_objective).count())));
   return std::min(aTransaction.m_waitsFrom + most, aTransaction.m_deadline);
@@ -863,8 +897,7 @@
   LogRequest(transaction, "caller-left", 0, LogRank::Routine);
   if (transaction.m_upstream) {
     transaction.m_upstream->Abandon();
-    EndAttempt(
-      BootClock::now(), aTransaction, AttemptEnd::Abandoned);
+    EndAttempt(BootClock::now(), aTransaction, AttemptEnd::Abandoned);
   }
   Complete(aTransaction);
   m_loop.Defer([this] { Pump(); });
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -74,6 +74,16 @@
                  const std::string& aPeer,
                  const std::vector<EndpointUse>& aUses);
 
+  /** Takes in the use of endpoints by all daemons, this one included, by the
+      endpoints' hashes. */
+  void OnFleetUse(TimePoint aNow,
+                  const std::map<std::uint32_t, std::uint32_t>& aTotals);
+
+  /** Adds this daemon's use of endpoints, and what it knows of its peers', to
+      the totals of endpoints that are worth telling of. */
+  [[nodiscard]] std::map<std::uint32_t, std::uint32_t> Totals(
+    TimePoint aNow) const;
+
   void SetDaemons(std::size_t aDaemons);
 
   [[nodiscard]] std::vector<EndpointUse> Uses() const;
@@ -152,7 +162,8 @@
   Service& ServiceOf(const std::string& aName);
   bool Admit(const TransactionPtr& aTransaction);
   void Place(const TransactionPtr& aTransaction);
-  [[nodiscard]] Endpoint* Choose(TimePoint aNow, const Transaction& aTransaction);
+  [[nodiscard]] Endpoint* Choose(TimePoint aNow,
+                                 const Transaction& aTransaction);
   [[nodiscard]] Endpoint* ChooseHolder(TimePoint aNow,
                                        const Transaction& aTransaction,
                                        Service& aService);
--- a/src/sapphirehook/gateway/settings.cpp
+++ b/src/sapphirehook/gateway/settings.cpp
@@ -43,8 +43,8 @@
     throw std::invalid_argument(std::string("setting \"") + aName +
                                 "\" must be above 0");
   }
-  return Millis(static_cast<Millis::rep>(
-    value * static_cast<double>(aUnit.count())));
+  return Millis(
+    static_cast<Millis::rep>(value * static_cast<double>(aUnit.count())));
 }
 
 GatewaySettings
@@ -60,10 +60,8 @@
   settings.m_peers = AddressSetting(aRoot, "peers");
   settings.m_metrics = AddressSetting(aRoot, "metrics");
   settings.m_store = AddressSetting(aRoot, "store");
-  settings.m_retryBudget.m_ratio =
-    Setting<double>(aRoot, "retry_budget_ratio");
-  settings.m_retryBudget.m_slack =
-    Setting<double>(aRoot, "retry_budget_slack");
+  settings.m_retryBudget.m_ratio = Setting<double>(aRoot, "retry_budget_ratio");
+  settings.m_retryBudget.m_slack = Setting<double>(aRoot, "retry_budget_slack");
   settings.m_retryBudget.m_window =
     Positive(aRoot, "retry_budget_window_s", kSecond);
   settings.m_maxHold = Positive(aRoot, "max_hold_ms", kMilli);
--- a/src/sapphirehook/gateway/status_server.cpp
+++ b/src/sapphirehook/gateway/status_server.cpp
@@ -19,12 +19,12 @@
              std::function<void(Connection*)> aOnEnd)
     : m_handler(aHandler)
     , m_onEnd(std::move(aOnEnd))
-    , m_stream(aLoop,
-               StreamEvents{
-                 nullptr,
-                 [this](std::string_view aBytes) { OnData(aBytes); },
-                 nullptr,
-                 [this](StreamEnd) { m_onEnd(this); } })
+    , m_stream(
+        aLoop,
+        StreamEvents{ nullptr,
+                      [this](std::string_view aBytes) { OnData(aBytes); },
+                      nullptr,
+                      [this](StreamEnd) { m_onEnd(this); } })
     , m_parser(MessageSide::Request, MessageEvents{})
   {
   }
@@ -42,11 +42,11 @@
         return;
       }
       const auto reply = m_handler(m_parser.Request().m_target);
-      std::string text = "HTTP/1.1 " + std::to_string(reply.m_status) +
-                         (reply.m_status == kOk ? " OK\r\n" : " Unavailable\r\n");
+      std::string text =
+        "HTTP/1.1 " + std::to_string(reply.m_status) +
+        (reply.m_status == kOk ? " OK\r\n" : " Unavailable\r\n");
       AppendHeader(text, "Content-Type", "text/plain");
-      AppendHeader(
-        text, "Content-Length", std::to_string(reply.m_body.size()));
+      AppendHeader(text, "Content-Length", std::to_string(reply.m_body.size()));
       text += "\r\n" + reply.m_body;
       m_stream.Write(text);
       m_parser.Resume();
@@ -75,8 +75,8 @@
 void
 StatusServer::Accept(int aSocket)
 {
-  auto connection = std::make_shared<Connection>(
-    m_loop, m_handler, [this](Connection* aEnded) {
+  auto connection =
+    std::make_shared<Connection>(m_loop, m_handler, [this](Connection* aEnded) {
       const auto found = m_connections.find(aEnded);
       if (found != m_connections.end()) {
         m_loop.Retire(found->second);
--- a/src/sapphirehook/gateway/upstream_connection.cpp
+++ b/src/sapphirehook/gateway/upstream_connection.cpp
@@ -131,9 +131,9 @@
     FindHeader(head.m_headers, m_protocol.m_notRunHeader) != nullptr;
   constexpr int kFirstFinal = 200;
   // An endpoint that did not run a request need not name it.
-  m_foreign = head.m_status < kFirstFinal ||
-              (id != nullptr ? *id != m_attemptId
-                             : !isNotRun && !m_attemptId.empty());
+  m_foreign =
+    head.m_status < kFirstFinal ||
+    (id != nullptr ? *id != m_attemptId : !isNotRun && !m_attemptId.empty());
   if (!m_foreign) {
     m_head = head;
     m_idleLimit = kIdleLimit;
--- a/src/sapphirehook/gossip/gossip.cpp
+++ b/src/sapphirehook/gossip/gossip.cpp
@@ -26,10 +26,9 @@
 Gossip::Gossip(EventLoop& aLoop, HostId aSelf, Handler aOnMessage)
   : m_self(std::move(aSelf))
   , m_onMessage(std::move(aOnMessage))
-  , m_socket(aLoop,
-             [this](const sockaddr_in& aFrom, std::string_view aBytes) {
-               OnDatagram(aFrom, aBytes);
-             })
+  , m_socket(aLoop, [this](const sockaddr_in& aFrom, std::string_view aBytes) {
+    OnDatagram(aFrom, aBytes);
+  })
 {
 }
 
@@ -86,6 +85,20 @@
   }
 }
 
+void
+Gossip::SendNext(const GossipMessage& aMessage)
+{
+  if (m_peers.empty()) {
+    return;
+  }
+  auto next = m_peers.upper_bound(m_lastTurn);
+  if (next == m_peers.end()) {
+    next = m_peers.begin();
+  }
+  m_lastTurn = next->first;
+  m_socket.Send(next->second.m_address, Serialize(aMessage));
+}
+
 void
 Gossip::OnDatagram(const sockaddr_in& aFrom, std::string_view aBytes)
 {
@@ -109,6 +122,7 @@
   peer.m_heardAt = now;
   if (const auto* beat = std::get_if<Beat>(&*message)) {
     peer.m_stopping = beat->m_stopping;
+    peer.m_storeWorks = beat->m_storeWorks;
   }
   m_onMessage(envelope->m_from, *message);
 }
--- a/src/sapphirehook/gossip/gossip.hpp
+++ b/src/sapphirehook/gossip/gossip.hpp
@@ -19,6 +19,7 @@
   TimePoint m_heardAt{};
   TimePoint m_sentAt{};
   bool m_stopping = false;
+  bool m_storeWorks = false;
 };
 
 /** Sends and receives messages between daemons. A daemon is known from the
@@ -46,6 +47,9 @@
 
   void SendTo(const std::string& aHost, const GossipMessage& aMessage);
 
+  /** Sends to the next daemon in turn, so that all are reached over time. */
+  void SendNext(const GossipMessage& aMessage);
+
   [[nodiscard]] const std::map<std::string, Peer>& Peers() const noexcept
   {
     return m_peers;
@@ -66,6 +70,7 @@
   Handler m_onMessage;
   DatagramSocket m_socket;
   std::map<std::string, Peer> m_peers;
+  std::string m_lastTurn;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -12,7 +12,17 @@
 
 namespace sapphirehook {
 
-/** Sent by each daemon to all others several times a second. */
+/** Requests of all daemons at one endpoint, which is named by its hash. */
+struct FleetUse
+{
+  std::uint32_t m_endpointHash = 0;
+  std::uint32_t m_running = 0;
+
+  MSGPACK_DEFINE_ARRAY(m_endpointHash, m_running)
+};
+
+/** Sent several times a second: in a small fleet by each daemon to all others,
+    in a large one by each to the leader, and by the leader to all. */
 struct Beat
 {
   /** Highest term of a leader that the sender knows. */
@@ -26,6 +36,11 @@
   std::vector<EndpointUse> m_uses;
   /** For each keyed service, the leader's state of its map. */
   std::map<std::string, MapVersion> m_maps;
+  /** From the leader: how many daemons there are, who should claim next, and
+      in a large fleet the use of endpoints by all daemons. */
+  std::uint32_t m_daemons = 0;
+  std::vector<std::string> m_heirs;
+  std::vector<FleetUse> m_totals;
 
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
@@ -33,7 +48,10 @@
                        m_stopping,
                        m_ends,
                        m_uses,
-                       m_maps)
+                       m_maps,
+                       m_daemons,
+                       m_heirs,
+                       m_totals)
 };
 
 /** Requests by key, sent to the leader. */
@@ -86,12 +104,8 @@
   MSGPACK_DEFINE_ARRAY(m_term, m_grantsEndInMs)
 };
 
-using GossipMessage = std::variant<Beat,
-                                   KeyReport,
-                                   RouteChange,
-                                   RouteRequest,
-                                   RoutePage,
-                                   Resignation>;
+using GossipMessage = std::
+  variant<Beat, KeyReport, RouteChange, RouteRequest, RoutePage, Resignation>;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/http1/message_parser.cpp
+++ b/src/sapphirehook/http1/message_parser.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/http1/message_parser.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirehook {
@@ -17,15 +18,29 @@
          aStatus == kNotModified;
 }
 
+/** Returns whether a text is a name as RFC 9110 has it. The library lets names
+    with spaces pass, which others read in another way. */
+bool
+IsToken(std::string_view aText) noexcept
+{
+  constexpr std::string_view kSigns = "!#$%&'*+-.^_`|~";
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(), [&](char aByte) {
+           return (aByte >= 'a' && aByte <= 'z') ||
+                  (aByte >= 'A' && aByte <= 'Z') ||
+                  (aByte >= '0' && aByte <= '9') ||
+                  kSigns.find(aByte) != std::string_view::npos;
+         });
+}
+
 } // namespace
 
 MessageParser::MessageParser(MessageSide aSide, MessageEvents aEvents)
   : m_side(aSide)
   , m_events(std::move(aEvents))
 {
-  http_parser_init(&m_parser,
-                   aSide == MessageSide::Request ? HTTP_REQUEST
-                                                 : HTTP_RESPONSE);
+  http_parser_init(
+    &m_parser, aSide == MessageSide::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
 }
 
@@ -67,8 +82,8 @@
   if (m_fault != ParseFault::None || m_complete || aBytes.empty()) {
     return 0;
   }
-  const std::size_t used = http_parser_execute(
-    &m_parser, &Callbacks(), aBytes.data(), aBytes.size());
+  const std::size_t used =
+    http_parser_execute(&m_parser, &Callbacks(), aBytes.data(), aBytes.size());
   const auto error = HTTP_PARSER_ERRNO(&m_parser);
   if (error != HPE_OK && error != HPE_PAUSED && m_fault == ParseFault::None) {
     m_fault = error == HPE_HEADER_OVERFLOW ? ParseFault::HeadTooLarge
@@ -93,9 +108,8 @@
 MessageParser::Resume()
 {
   const std::size_t limit = m_headLimit;
-  http_parser_init(&m_parser,
-                   m_side == MessageSide::Request ? HTTP_REQUEST
-                                                  : HTTP_RESPONSE);
+  http_parser_init(
+    &m_parser, m_side == MessageSide::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
   m_request = {};
   m_response = {};
@@ -168,12 +182,15 @@
 bool
 MessageParser::HasPlainFraming() const
 {
-  const auto& headers = m_side == MessageSide::Request ? m_request.m_headers
-                                                       : m_response.m_headers;
+  const auto& headers =
+    m_side == MessageSide::Request ? m_request.m_headers : m_response.m_headers;
   unsigned lengths = 0;
   unsigned encodings = 0;
   bool chunked = true;
   for (const auto& header : headers) {
+    if (!IsToken(header.m_name)) {
+      return false;
+    }
     if (EqualNoCase(header.m_name, "content-length")) {
       ++lengths;
     } else if (EqualNoCase(header.m_name, "transfer-encoding")) {
@@ -210,8 +227,8 @@
   } else {
     m_response.m_status = static_cast<int>(m_parser.status_code);
     m_response.m_bodySize = size;
-    m_endsWithConnection = !m_noBody && !chunked && !size &&
-                           !HasNoBodyByStatus(m_response.m_status);
+    m_endsWithConnection =
+      !m_noBody && !chunked && !size && !HasNoBodyByStatus(m_response.m_status);
   }
   m_headComplete = true;
   if (m_events.m_onHead) {
--- a/src/sapphirehook/keys/hot_key_counter.cpp
+++ b/src/sapphirehook/keys/hot_key_counter.cpp
@@ -21,10 +21,11 @@
     return;
   }
   // The key with the lowest count gives its counter, and its count, away.
-  auto& least = *std::min_element(
-    m_counts.begin(), m_counts.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.m_count < aRight.m_count;
-    });
+  auto& least = *std::min_element(m_counts.begin(),
+                                  m_counts.end(),
+                                  [](const auto& aLeft, const auto& aRight) {
+                                    return aLeft.m_count < aRight.m_count;
+                                  });
   least.m_key = aKey;
   ++least.m_count;
 }
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -1,5 +1,7 @@
 #include "sapphirehook/keys/leadership.hpp"
 
+#include "sapphirehook/core/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,6 +11,8 @@
 
 /** A candidate counts while it has been heard of within this time. */
 constexpr Millis kCandidateFor{ 1000 };
+/** Daemons that the leader has not named claim in this many turns. */
+constexpr std::uint64_t kUnnamedSpread = 12;
 /** A leader that cannot reach the store makes room after this time. */
 constexpr Millis kResignAfter{ 2500 };
 /** One that has stepped down does not claim again for this long. */
@@ -80,13 +84,18 @@
   }
 }
 
-bool
-Leadership::ShouldClaim(TimePoint aNow, bool aStoreWorks) const
+/** Place of this daemon among those that may claim: as the last leader named
+    them, or else by name among those heard of. */
+int
+Leadership::Rank(TimePoint aNow) const
 {
-  if (m_leads || !aStoreWorks ||
-      (m_resignedAt != TimePoint{} &&
-       aNow < m_resignedAt + kRestAfterResigning)) {
-    return false;
+  if (!m_heirs.empty()) {
+    const auto at = std::find(m_heirs.begin(), m_heirs.end(), m_self.m_host);
+    const auto place = static_cast<int>(at - m_heirs.begin());
+    const bool named = at != m_heirs.end();
+    return named ? place
+                 : place + static_cast<int>(StableHash(m_self.m_host) %
+                                            kUnnamedSpread);
   }
   int rank = 0;
   for (const auto& [host, candidate] : m_candidates) {
@@ -94,7 +103,19 @@
                       aNow < candidate.m_heardAt + kCandidateFor;
     rank += able && host < m_self.m_host ? 1 : 0;
   }
-  return aNow >= m_leaderHeardAt + m_times.m_silence + rank * m_times.m_stagger;
+  return rank;
+}
+
+bool
+Leadership::ShouldClaim(TimePoint aNow, bool aStoreWorks) const
+{
+  if (m_leads || !aStoreWorks ||
+      (m_resignedAt != TimePoint{} &&
+       aNow < m_resignedAt + kRestAfterResigning)) {
+    return false;
+  }
+  return aNow >=
+         m_leaderHeardAt + m_times.m_silence + Rank(aNow) * m_times.m_stagger;
 }
 
 bool
@@ -128,8 +149,7 @@
     return m_resignedEnds;
   }
   const auto run = m_runs.find(leader.m_host);
-  if (run != m_runs.end() &&
-      run->second.m_incarnation > leader.m_incarnation) {
+  if (run != m_runs.end() && run->second.m_incarnation > leader.m_incarnation) {
     return run->second.m_seenAt + HoldEnd();
   }
   return aNow + m_times.m_authority + HoldEnd();
@@ -167,8 +187,7 @@
   if (m_leads) {
     return m_self;
   }
-  if (m_leader.m_host.empty() ||
-      aNow >= m_leaderHeardAt + m_times.m_silence) {
+  if (m_leader.m_host.empty() || aNow >= m_leaderHeardAt + m_times.m_silence) {
     return std::nullopt;
   }
   return m_leader;
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -8,6 +8,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace sapphirehook {
 
@@ -71,8 +73,17 @@
               bool aLeads,
               const Candidate& aCandidate);
 
+  /** The leader has named the daemons that should claim after it, in order. */
+  void SetHeirs(std::vector<std::string> aHeirs)
+  {
+    m_heirs = std::move(aHeirs);
+  }
+
   /** A leader has stepped down; its grants end by a time. */
-  void OnResigned(TimePoint aNow, const HostId& aFrom, Term aTerm, Millis aEnds);
+  void OnResigned(TimePoint aNow,
+                  const HostId& aFrom,
+                  Term aTerm,
+                  Millis aEnds);
 
   /** Whether this daemon should claim now. */
   [[nodiscard]] bool ShouldClaim(TimePoint aNow, bool aStoreWorks) const;
@@ -114,10 +125,10 @@
 
 private:
   [[nodiscard]] TimePoint PredecessorEnds(TimePoint aNow) const;
+  [[nodiscard]] int Rank(TimePoint aNow) const;
   [[nodiscard]] std::chrono::nanoseconds HoldEnd() const noexcept
   {
-    return m_times.m_orderLasts +
-           WithDrift(m_times.m_hold, m_times.m_driftPpm);
+    return m_times.m_orderLasts + WithDrift(m_times.m_hold, m_times.m_driftPpm);
   }
 
   LeadershipTimes m_times;
@@ -127,6 +138,7 @@
   HostId m_leader;
   TimePoint m_leaderHeardAt;
   std::map<std::string, Candidate> m_candidates;
+  std::vector<std::string> m_heirs;
   bool m_leads = false;
   TimePoint m_provenAt{};
   TimePoint m_foreignEnds{};
--- a/src/sapphirehook/keys/range_keeper.hpp
+++ b/src/sapphirehook/keys/range_keeper.hpp
@@ -101,7 +101,9 @@
 public:
   /** aFirstFence is above every fence used before; aForeignEnds is when every
       grant of an earlier leader has run out. */
-  BasicRangeKeeper(KeeperTimes aTimes, Fence aFirstFence, TimePoint aForeignEnds);
+  BasicRangeKeeper(KeeperTimes aTimes,
+                   Fence aFirstFence,
+                   TimePoint aForeignEnds);
 
   /** Takes in a stored assignment. */
   void Load(const RangeAssignment& aAssignment);
@@ -121,7 +123,9 @@
   /** The store proved at a time that no later leader has claimed. */
   void SetProvenAt(TimePoint aProvenAt) noexcept { m_provenAt = aProvenAt; }
 
-  void OnGrantEnd(TimePoint aNow, std::uint64_t aId, const OrderAnswer& aAnswer);
+  void OnGrantEnd(TimePoint aNow,
+                  std::uint64_t aId,
+                  const OrderAnswer& aAnswer);
   void OnReleaseEnd(TimePoint aNow,
                     std::uint64_t aId,
                     const OrderAnswer& aAnswer);
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -55,7 +55,8 @@
       continue;
     }
     // A range lies within one block, so that storing its block stores it.
-    const std::uint32_t blockEnd = (first / kStoreBlockKeys + 1) * kStoreBlockKeys;
+    const std::uint32_t blockEnd =
+      (first / kStoreBlockKeys + 1) * kStoreBlockKeys;
     const std::uint32_t end =
       std::min({ limit, (first / size + 1) * size, blockEnd });
     Range range;
@@ -106,8 +107,8 @@
     if (!endpoint.m_usable || endpoint.m_silent || endpoint.m_dead) {
       continue;
     }
-    const double load =
-      m_keyCounts[life] / std::max(endpoint.m_capacity, internal::kLeastCapacity);
+    const double load = m_keyCounts[life] /
+                        std::max(endpoint.m_capacity, internal::kLeastCapacity);
     if (best == nullptr || load < bestLoad) {
       best = &endpoint;
       bestLoad = load;
@@ -213,8 +214,7 @@
                                     std::uint64_t aId,
                                     const OrderAnswer& aAnswer)
 {
-  const TimePoint ends =
-    aNow + WithDrift(m_times.m_hold, m_times.m_driftPpm);
+  const TimePoint ends = aNow + WithDrift(m_times.m_hold, m_times.m_driftPpm);
   for (auto& [first, range] : m_ranges) {
     if (range.m_grantId != aId) {
       continue;
@@ -461,8 +461,8 @@
   for (const unsigned block : blocks) {
     StoreBlock& one = stored.emplace_back();
     one.m_block = block;
-    const auto begin = m_ranges.lower_bound(
-      static_cast<Key>(block * kStoreBlockKeys));
+    const auto begin =
+      m_ranges.lower_bound(static_cast<Key>(block * kStoreBlockKeys));
     for (auto at = begin;
          at != m_ranges.end() && at->first / kStoreBlockKeys == block;
          ++at) {
--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -112,8 +112,8 @@
   while (moves.size() < m_config.m_maxMoves) {
     auto* busiest = Busiest(loads);
     // An endpoint that has joined gets its part also while none is busy.
-    const bool newcomer = std::any_of(
-      loads.begin(), loads.end(), [&](const auto& aOne) {
+    const bool newcomer =
+      std::any_of(loads.begin(), loads.end(), [&](const auto& aOne) {
         return aOne.second.m_isNew &&
                aOne.second.Share() < mean * kNewcomerPart;
       });
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -40,14 +40,13 @@
   : m_loop(aLoop)
   , m_events(std::move(aEvents))
   , m_watcher(aLoop, [this](int aWhich) { OnEvents(aWhich); })
-  , m_timer(aLoop,
-            [this] {
-              if (m_closing) {
-                Close();
-              } else {
-                End(StreamEnd::ConnectTimeout);
-              }
-            })
+  , m_timer(aLoop, [this] {
+    if (m_closing) {
+      Close();
+    } else {
+      End(StreamEnd::ConnectTimeout);
+    }
+  })
 {
 }
 
@@ -105,7 +104,8 @@
     return;
   }
   if (m_connected && Unsent() == 0) {
-    const auto sent = send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    const auto sent =
+      send(m_socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
     if (sent > 0) {
       aBytes.remove_prefix(static_cast<std::size_t>(sent));
     }
--- a/src/sapphirehook/placement/arrival_budget.cpp
+++ b/src/sapphirehook/placement/arrival_budget.cpp
@@ -30,9 +30,8 @@
 {
   Forget(aNow);
   const double allowed =
-    kUsedPart *
-    (m_config.m_ratio * static_cast<double>(m_requests.size()) +
-     m_config.m_slack / static_cast<double>(m_daemons));
+    kUsedPart * (m_config.m_ratio * static_cast<double>(m_requests.size()) +
+                 m_config.m_slack / static_cast<double>(m_daemons));
   if (static_cast<double>(m_repeats.size()) + 1.0 > allowed) {
     return false;
   }
--- a/src/sapphirehook/placement/endpoint_load.cpp
+++ b/src/sapphirehook/placement/endpoint_load.cpp
@@ -31,9 +31,10 @@
 double
 EndpointLoad::Turns(std::size_t aRunning) const noexcept
 {
-  return aRunning < m_slots ? 1.0
-                            : 1.0 + static_cast<double>(aRunning - m_slots + 1) /
-                                      static_cast<double>(m_slots);
+  return aRunning < m_slots
+           ? 1.0
+           : 1.0 + static_cast<double>(aRunning - m_slots + 1) /
+                     static_cast<double>(m_slots);
 }
 
 double
@@ -68,9 +69,8 @@
     const double weight = std::max(kServiceWeight, 1.0 / m_samples);
     m_service += Scaled(Scaled(aTook, 1.0 / aTurns) - m_service, weight);
   } else if (!reached) {
-    const auto ejection =
-      std::min(kFirstEjection * (1U << std::min(m_failuresInRow, 4U)),
-               kLongestEjection);
+    const auto ejection = std::min(
+      kFirstEjection * (1U << std::min(m_failuresInRow, 4U)), kLongestEjection);
     ++m_failuresInRow;
     m_ejectedUntil = aNow + ejection;
   }
@@ -91,10 +91,10 @@
 void
 EndpointLoad::OnPeerService(std::chrono::nanoseconds aService) noexcept
 {
-  m_peerService = m_peerService == std::chrono::nanoseconds(0)
-                    ? aService
-                    : m_peerService +
-                        Scaled(aService - m_peerService, kServiceWeight);
+  m_peerService =
+    m_peerService == std::chrono::nanoseconds(0)
+      ? aService
+      : m_peerService + Scaled(aService - m_peerService, kServiceWeight);
 }
 
 std::chrono::nanoseconds
--- a/src/sapphirehook/placement/retry_policy.cpp
+++ b/src/sapphirehook/placement/retry_policy.cpp
@@ -18,8 +18,8 @@
   }
   const bool idempotent = aState.m_kind == RequestKind::Idempotent;
   const bool mayRepeat = idempotent || !aState.m_mayHaveRun;
-  const bool canSend = mayRepeat && aState.m_hasBody &&
-                       aState.m_timeLeft > kLeastTime;
+  const bool canSend =
+    mayRepeat && aState.m_hasBody && aState.m_timeLeft > kLeastTime;
   if (aEnd == AttemptEnd::NotSent && canSend) {
     return NextStep::SendAgain;
   }
--- a/src/sapphirehook/routing/route.hpp
+++ b/src/sapphirehook/routing/route.hpp
@@ -66,7 +66,7 @@
 /** What a caller may send, and how long it may take. */
 struct CallerLimits
 {
-  std::size_t m_headBytes = 16'384; // common limit of HTTP servers, bytes
+  std::size_t m_headBytes = 16'384;       // common limit of HTTP servers, bytes
   std::uint64_t m_bodyBytes = 67'108'864; // 64 MiB, until routes are known
   Millis m_headTimeout{ 3000 };           // until routes are known
   Millis m_idleTimeout{ 15'000 };         // until routes are known
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -21,8 +21,7 @@
   return static_cast<unsigned>(
     std::hash<std::string>{}(aTopic) ^
     reinterpret_cast<std::uintptr_t>(aReader) ^
-    static_cast<std::uint64_t>(
-      BootClock::now().time_since_epoch().count()));
+    static_cast<std::uint64_t>(BootClock::now().time_since_epoch().count()));
 }
 
 } // namespace
--- /dev/null
+++ b/test/platform/formats.cpp
@@ -0,0 +1,172 @@
+#include "platform/protocol.hpp"
+#include "support/generate.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirehook;
+
+namespace {
+
+const std::string kConfig = R"({"version":"0000000c","resources":[
+ {"resource-kind":"routes","metadata":{"name":"r1"},"spec":{"host":"h.example",
+  "path-prefix":"/a/","type":"safe","timeout-ms":1000,"target-latency-ms":400,
+  "priority":2,"backends":[{"service":"s","weight":90},
+  {"service":"t","weight":10}],"max-attempts":2}},
+ {"resource-kind":"services","metadata":{"name":"s"},"spec":{
+  "health-path":"/health","max-connections":110,"is-sharded":true,
+  "warm-s":5.0}},
+ {"resource-kind":"limits","metadata":{},"spec":{"header-bytes":16384,
+  "max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000}}]})";
+
+const std::string kEntry =
+  R"({"address":"10.128.0.9:8080","born":17,"info":{"service":"s",
+ "version":"v1","zone":"z","max-concurrency":6},"status":{"state":"ready",
+ "sequence":4,"warmup-left-ms":250}})";
+
+CallResult
+Answered(int aStatus, std::string aBody)
+{
+  CallResult result;
+  result.m_end = CallEnd::Answered;
+  result.m_answer.m_head.m_status = aStatus;
+  result.m_answer.m_body = std::move(aBody);
+  return result;
+}
+
+std::string
+Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  const auto at = aText.find(aFrom);
+  REQUIRE(at != std::string::npos);
+  return aText.replace(at, aFrom.size(), aTo);
+}
+
+} // namespace
+
+TEST_CASE("the configuration is read into the product's own terms",
+          "[platform]")
+{
+  const auto config = platform::Protocol().m_parseConfig(kConfig);
+  REQUIRE(config.ok());
+  CHECK(config->m_version == 12);
+  REQUIRE(config->m_routes.size() == 1);
+  const auto& route = config->m_routes.front();
+  CHECK(route.m_kind == RequestKind::Idempotent);
+  CHECK(route.m_timeout == Millis(1000));
+  CHECK(route.m_objective == Millis(400));
+  REQUIRE(route.m_targets.size() == 2);
+  CHECK(route.m_targets[0].m_weight == 90);
+  CHECK(config->m_services.at("s").m_keyed);
+  CHECK(config->m_services.at("s").m_keyWarmUp == Millis(5000));
+  CHECK(config->m_limits.m_bodyBytes == 1000);
+}
+
+TEST_CASE("a fault in the configuration names its field", "[platform]")
+{
+  const auto parse = platform::Protocol().m_parseConfig;
+  const auto why = [&](const std::string& aText) {
+    return std::string(parse(aText).status().message());
+  };
+  CHECK(why(Replaced(kConfig, "\"host\"", "\"hast\"")).find("host") !=
+        std::string::npos);
+  CHECK(why(Replaced(kConfig, "1000,\"target", "\"x\",\"target"))
+          .find("timeout-ms") != std::string::npos);
+  CHECK(why(Replaced(kConfig, "\"safe\"", "\"odd\"")).find("type") !=
+        std::string::npos);
+  CHECK_FALSE(parse(kConfig.substr(0, 100)).ok());
+}
+
+TEST_CASE("an endpoint's entry is read, and a foreign one refused",
+          "[platform]")
+{
+  const auto parse = platform::Protocol().m_parseEndpoint;
+  const auto record = parse("e", kEntry);
+  REQUIRE(record.ok());
+  CHECK(record->m_life == EndpointLife{ "e", 17 });
+  CHECK(record->m_slots == 6);
+  CHECK_FALSE(record->m_draining);
+  CHECK(record->m_warmUpLeft == Millis(250));
+  CHECK_FALSE(parse("e", Replaced(kEntry, "\"ready\"", "\"busy\"")).ok());
+  CHECK_FALSE(parse("e", Replaced(kEntry, "17", "17.5")).ok());
+  CHECK_FALSE(parse("e", Replaced(kEntry, "\"zone\":\"z\",", "")).ok());
+  CHECK_FALSE(parse("e", Replaced(kEntry, "6}", "\"6\"}")).ok());
+  CHECK_FALSE(parse("e", "\x01\x02").ok());
+}
+
+TEST_CASE("damaged entries and configurations never do harm", "[platform]")
+{
+  std::mt19937 random(6);
+  const auto protocol = platform::Protocol();
+  for (int round = 0; round < 3000; ++round) {
+    std::string text = round % 2 == 0 ? kConfig : kEntry;
+    for (int hits = 0; hits < 3; ++hits) {
+      text[support::Draw(random, text.size())] =
+        static_cast<char>(support::Draw(random, 256));
+    }
+    if (support::Draw(random, 3) == 0) {
+      text.resize(support::Draw(random, text.size()));
+    }
+    static_cast<void>(protocol.m_parseConfig(text).ok());
+    static_cast<void>(protocol.m_parseEndpoint("e", text).ok());
+    static_cast<void>(protocol.m_store.m_parseRead(Answered(200, text), 0));
+    static_cast<void>(protocol.m_store.m_parseNewest(Answered(200, text)));
+  }
+  SUCCEED("no crash");
+}
+
+TEST_CASE("records written for the store are read back the same", "[platform]")
+{
+  const auto store = platform::Protocol().m_store;
+  const std::vector<KeyedRecord> records{ { 0, "k1", "value" },
+                                          { 0, "k2", std::string("\0\1", 2) },
+                                          { 0, "k1", {} } };
+  const auto call = store.m_append("keyed.x", 7, records);
+  CHECK(call.m_target == "/sapphirehook/log-append?topic=keyed.x&part=0&at=7");
+  const std::string head(std::string(7, '\0') + '\x0a' + std::string(8, '\0'));
+  const auto page = store.m_parseRead(Answered(200, head + call.m_body), 7);
+  REQUIRE(page.m_answer == StoreAnswer::Ok);
+  CHECK(page.m_end == 10);
+  REQUIRE(page.m_records.size() == 3);
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    CHECK(page.m_records[i].m_offset == 7 + i);
+    CHECK(page.m_records[i].m_key == records[i].m_key);
+    CHECK(page.m_records[i].m_value == records[i].m_value);
+  }
+}
+
+TEST_CASE("the store's answers are told apart", "[platform]")
+{
+  const auto store = platform::Protocol().m_store;
+  CHECK(store.m_parseAppend(Answered(200, R"({"offset":1,"end-offset":2})"))
+          .m_answer == StoreAnswer::Ok);
+  CHECK(store.m_parseAppend(Answered(412, R"({"end-offset":2})")).m_answer ==
+        StoreAnswer::Conflict);
+  CHECK(store.m_parseAppend(Answered(503, "")).m_answer ==
+        StoreAnswer::TurnedAway);
+  CHECK(store.m_parseAppend(Answered(429, "")).m_answer ==
+        StoreAnswer::TurnedAway);
+  CHECK(store.m_parseAppend(CallResult{ CallEnd::NoAnswer, {} }).m_answer ==
+        StoreAnswer::NoAnswer);
+  CHECK(store.m_parseRead(Answered(410, ""), 0).m_answer ==
+        StoreAnswer::Forgotten);
+}
+
+TEST_CASE("orders to endpoints and their answers", "[platform]")
+{
+  const auto protocol = platform::Protocol();
+  const auto grant =
+    protocol.m_grant({ { 4096, 8191 }, 12, Millis(4000), "5c0e" });
+  CHECK(grant.m_target == "/sapphirehook/grant");
+  CHECK(grant.m_body ==
+        R"({"fence":12,"from-rev":4096,"handover":"5c0e","hold-ms":4000,)"
+        R"("to":8191})");
+  CHECK(protocol.m_parseOrder(Answered(409, "")).m_end == OrderEnd::Fenced);
+  CHECK(protocol.m_parseOrder(Answered(400, "")).m_end == OrderEnd::Rejected);
+  CHECK(protocol.m_parseOrder(CallResult{ CallEnd::Refused, {} }).m_end ==
+        OrderEnd::Refused);
+  const auto load = protocol.m_parseLoad("3,0,8");
+  REQUIRE(load.ok());
+  CHECK(load->m_running == 3);
+  CHECK(load->m_slots == 8);
+  CHECK_FALSE(protocol.m_parseLoad("3,x,8").ok());
+}
--- /dev/null
+++ b/test/sapphirehook/discovery/endpoint_directory.cpp
@@ -0,0 +1,84 @@
+#include "sapphirehook/discovery/endpoint_directory.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirehook;
+
+namespace {
+
+constexpr TimePoint
+At(int aMillis)
+{
+  return TimePoint(Millis(aMillis));
+}
+
+EndpointRecord
+Record(std::int64_t aStartedAt, bool aDraining)
+{
+  EndpointRecord record;
+  record.m_life = { "e", aStartedAt };
+  record.m_service = "s";
+  record.m_slots = 6;
+  record.m_draining = aDraining;
+  return record;
+}
+
+bool
+Usable(const EndpointDirectory& aDirectory, int aMillis)
+{
+  const auto* known = aDirectory.Find("e");
+  return known != nullptr && aDirectory.IsUsable(At(aMillis), *known);
+}
+
+} // namespace
+
+TEST_CASE("an endpoint that leaves gets no more work", "[discovery]")
+{
+  EndpointDirectory directory(Millis(1600));
+  directory.OnRecord(At(0), Record(1, false));
+  CHECK(Usable(directory, 0));
+  directory.OnRecord(At(10), Record(1, true));
+  CHECK_FALSE(Usable(directory, 10));
+  SECTION("not even when an older word of it comes late")
+  {
+    directory.OnRecord(At(20), Record(1, false));
+    CHECK_FALSE(Usable(directory, 20));
+  }
+  SECTION("until it starts again")
+  {
+    directory.OnRecord(At(20), Record(2, false));
+    CHECK(Usable(directory, 20));
+    directory.OnRecord(At(30), Record(1, true));
+    CHECK(Usable(directory, 30));
+  }
+}
+
+TEST_CASE("a removal counts at once, or after the grace around an outage",
+          "[discovery]")
+{
+  EndpointDirectory directory(Millis(1600));
+  directory.OnRecord(At(0), Record(1, false));
+  SECTION("in calm")
+  {
+    directory.OnRemoved(At(10), "e", false);
+    CHECK_FALSE(Usable(directory, 10));
+  }
+  SECTION("as a lapse that comes back")
+  {
+    directory.OnRemoved(At(10), "e", true);
+    CHECK(Usable(directory, 1609));
+    directory.OnRecord(At(1000), Record(1, false));
+    CHECK(Usable(directory, 5000));
+  }
+  SECTION("as a lapse that does not come back")
+  {
+    directory.OnRemoved(At(10), "e", true);
+    CHECK_FALSE(Usable(directory, 1610));
+  }
+  SECTION("of one that was leaving")
+  {
+    directory.OnRecord(At(5), Record(1, true));
+    directory.OnRemoved(At(10), "e", true);
+    CHECK_FALSE(Usable(directory, 10));
+  }
+}
--- /dev/null
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -0,0 +1,640 @@
+#include "sapphirehook/gateway/request_engine.hpp"
+
+#include "platform/protocol.hpp"
+#include "sapphirehook/core/text.hpp"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace sapphirehook;
+
+namespace {
+
+constexpr Millis kPatience{ 3000 };
+
+/** Loopback addresses, each with a port that is free. */
+sockaddr_in
+FreeAddress()
+{
+  const int probe = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  REQUIRE(bind(probe, reinterpret_cast<sockaddr*>(&address), size) == 0);
+  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+  close(probe);
+  return address;
+}
+
+/** An endpoint that does what a script says with each request it is sent. */
+class ScriptedEndpoint
+{
+public:
+  struct Connection
+  {
+    std::unique_ptr<TcpStream> m_stream;
+    std::unique_ptr<MessageParser> m_parser;
+    bool m_ended = false;
+  };
+  using Script = std::function<void(Connection&, RequestHead&)>;
+
+  ScriptedEndpoint(EventLoop& aLoop, std::string aName)
+    : m_loop(aLoop)
+    , m_name(std::move(aName))
+    , m_address(FreeAddress())
+    , m_listener(aLoop, [this](int aSocket) { Accept(aSocket); })
+  {
+    REQUIRE(m_listener.Listen(m_address));
+  }
+
+  [[nodiscard]] EndpointRecord Record(const std::string& aService) const
+  {
+    EndpointRecord record;
+    record.m_life = { m_name, 1 };
+    record.m_service = aService;
+    record.m_address = m_address;
+    record.m_zone = "z";
+    record.m_slots = 6;
+    return record;
+  }
+
+  /** Answers 200 with a text. */
+  static void Serve(Connection& aConnection, const RequestHead& aHead)
+  {
+    Reply(aConnection, aHead, "200 OK", "", "done");
+  }
+
+  static void Reply(Connection& aConnection,
+                    const RequestHead& aHead,
+                    const std::string& aStatus,
+                    const std::string& aHeaders,
+                    const std::string& aBody)
+  {
+    const auto* id = FindHeader(aHead.m_headers, "X-Sapphirehook-Attempt-Id");
+    aConnection.m_stream->Write(Concat("HTTP/1.1 ",
+                                       aStatus,
+                                       "\r\nX-Sapphirehook-Attempt-Id: ",
+                                       id != nullptr ? *id : std::string(),
+                                       "\r\n",
+                                       aHeaders,
+                                       "Content-Length: ",
+                                       aBody.size(),
+                                       "\r\n\r\n",
+                                       aBody));
+  }
+
+  Script m_script = [](Connection& aConnection, RequestHead& aHead) {
+    Serve(aConnection, aHead);
+  };
+  /** Ids of the requests that arrived, in order. */
+  std::vector<std::string> m_arrived;
+  std::vector<std::string> m_deadlines;
+  std::string m_bodies;
+  /** Connections that the other side has ended. */
+  unsigned m_ended = 0;
+
+  void StopListening() { m_listener.Close(); }
+
+private:
+  void Accept(int aSocket)
+  {
+    auto& connection = m_connections.emplace_back();
+    connection.m_parser = std::make_unique<MessageParser>(
+      MessageSide::Request,
+      MessageEvents{
+        [this, &connection] { OnHead(connection); },
+        [this](std::string_view aPiece) { m_bodies.append(aPiece); },
+        nullptr });
+    connection.m_stream = std::make_unique<TcpStream>(
+      m_loop,
+      StreamEvents{ nullptr,
+                    [&connection](std::string_view aBytes) {
+                      while (!aBytes.empty()) {
+                        const auto used = connection.m_parser->Feed(aBytes);
+                        aBytes.remove_prefix(used);
+                        if (!connection.m_parser->IsComplete()) {
+                          return;
+                        }
+                        connection.m_parser->Resume();
+                      }
+                    },
+                    nullptr,
+                    [this](StreamEnd) { ++m_ended; } });
+    connection.m_stream->Adopt(aSocket, kPatience);
+  }
+
+  void OnHead(Connection& aConnection)
+  {
+    auto& head = aConnection.m_parser->Request();
+    const auto* id = FindHeader(head.m_headers, "X-Sapphirehook-Attempt-Id");
+    const auto* left = FindHeader(head.m_headers, "X-Sapphirehook-Deadline-Ms");
+    const auto* expect =
+      FindHeader(head.m_headers, "X-Sapphirehook-Expect-Instance");
+    m_arrived.push_back(id != nullptr ? *id : "");
+    m_deadlines.push_back(left != nullptr ? *left : "");
+    CHECK((expect != nullptr && *expect == m_name));
+    m_script(aConnection, head);
+  }
+
+  EventLoop& m_loop;
+  std::string m_name;
+  sockaddr_in m_address;
+  TcpListener m_listener;
+  std::deque<Connection> m_connections;
+};
+
+/** A gateway's request path with two endpoints, and one caller. */
+class Bed
+{
+public:
+  Bed()
+    : m_protocol(platform::Protocol())
+    , m_log("test")
+    , m_engine(m_loop, m_protocol, m_log, { "z", BudgetConfig{} })
+    , m_address(FreeAddress())
+    , m_listener(m_loop,
+                 [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
+    , m_directory(Millis(1600))
+    , m_one(m_loop, "one")
+    , m_two(m_loop, "two")
+  {
+    REQUIRE(m_listener.Listen(m_address));
+    RoutingConfig config;
+    config.m_version = 1;
+    AddRoute(config, "/safe/", RequestKind::Idempotent, "plain");
+    AddRoute(config, "/once/", RequestKind::NeverRepeat, "plain");
+    AddRoute(config, "/keyed/", RequestKind::Idempotent, "keyed");
+    config.m_services["keyed"].m_keyed = true;
+    config.m_limits.m_bodyBytes = 100'000;
+    config.m_limits.m_headTimeout = Millis(300);
+    m_engine.SetRoutes(std::make_shared<const RouteTable>(config));
+  }
+
+  /** Lists both endpoints under a service. */
+  void List(const std::string& aService, bool aBoth = true)
+  {
+    m_directory.OnRecord(BootClock::now(), m_one.Record(aService));
+    if (aBoth) {
+      m_directory.OnRecord(BootClock::now(), m_two.Record(aService));
+    }
+    m_engine.SetEndpoints(BootClock::now(), m_directory);
+  }
+
+  /** Handles events until a condition holds; false when it never did. */
+  bool Until(const std::function<bool()>& aCondition, Millis aFor = kPatience)
+  {
+    const TimePoint end = BootClock::now() + aFor;
+    bool held = false;
+    Timer timer(m_loop, [&] {
+      held = aCondition();
+      if (held || BootClock::now() >= end) {
+        m_loop.Stop();
+      }
+    });
+    timer.StartEvery(Millis(2));
+    m_loop.Run();
+    return held;
+  }
+
+  /** Connects the caller and sends bytes. */
+  void Send(const std::string& aBytes)
+  {
+    if (!m_caller) {
+      m_caller = std::make_unique<TcpStream>(
+        m_loop,
+        StreamEvents{ nullptr,
+                      [this](std::string_view aGot) { m_got.append(aGot); },
+                      nullptr,
+                      [this](StreamEnd) { m_callerEnded = true; } });
+      m_caller->Connect(m_address, Millis(500), kPatience);
+    }
+    m_caller->Write(aBytes);
+  }
+
+  /** Sends a request without a body and returns the answer's bytes. */
+  std::string Ask(const std::string& aPath,
+                  const std::string& aId,
+                  const std::string& aHeaders = "",
+                  Millis aFor = kPatience)
+  {
+    m_got.clear();
+    Send(Concat("GET ",
+                aPath,
+                " HTTP/1.1\r\nHost: h\r\nX-Sapphirehook-Attempt-Id: ",
+                aId,
+                "\r\n",
+                aHeaders,
+                "\r\n"));
+    Until([&] { return m_got.find("\r\n\r\n") != std::string::npos; }, aFor);
+    Until([] { return false; }, Millis(10));
+    return m_got;
+  }
+
+  static bool Is(const std::string& aAnswer, int aStatus)
+  {
+    return aAnswer.compare(0, 12, Concat("HTTP/1.1 ", aStatus)) == 0;
+  }
+
+  EventLoop m_loop;
+  GatewayProtocol m_protocol;
+  EventLog m_log;
+  RequestEngine m_engine;
+  sockaddr_in m_address;
+  TcpListener m_listener;
+  EndpointDirectory m_directory;
+  ScriptedEndpoint m_one;
+  ScriptedEndpoint m_two;
+  std::unique_ptr<TcpStream> m_caller;
+  std::string m_got;
+  bool m_callerEnded = false;
+
+  [[nodiscard]] std::size_t Arrived() const
+  {
+    return m_one.m_arrived.size() + m_two.m_arrived.size();
+  }
+
+  void SetScript(const ScriptedEndpoint::Script& aScript)
+  {
+    m_one.m_script = aScript;
+    m_two.m_script = aScript;
+  }
+
+private:
+  static void AddRoute(RoutingConfig& aConfig,
+                       const std::string& aPrefix,
+                       RequestKind aKind,
+                       const std::string& aService)
+  {
+    Route route;
+    route.m_name = aPrefix;
+    route.m_host = "h";
+    route.m_prefix = aPrefix;
+    route.m_kind = aKind;
+    route.m_timeout = Millis(600);
+    route.m_objective = Millis(400);
+    route.m_maxAttempts = 2;
+    route.m_targets = { { aService, 1 } };
+    aConfig.m_routes.push_back(route);
+    aConfig.m_services[aService].m_name = aService;
+  }
+};
+
+} // namespace
+
+TEST_CASE("requests are answered one after the other on a kept connection",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  for (int i = 0; i < 5; ++i) {
+    const auto answer = bed.Ask("/safe/x", Concat("id", i));
+    CHECK(Bed::Is(answer, 200));
+    CHECK(answer.find(Concat("X-Sapphirehook-Attempt-Id: id", i)) !=
+          std::string::npos);
+    CHECK(answer.substr(answer.size() - 4) == "done");
+  }
+  CHECK(bed.Arrived() == 5);
+  CHECK(Bed::Is(bed.Ask("/none/x", "idn"), 404));
+}
+
+TEST_CASE("pipelined requests get their own answers in order", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  std::string both;
+  for (const char* id : { "p1", "p2", "p3" }) {
+    both += Concat("GET /safe/x HTTP/1.1\r\nHost: h\r\n",
+                   "X-Sapphirehook-Attempt-Id: ",
+                   id,
+                   "\r\n\r\n");
+  }
+  bed.Send(both);
+  REQUIRE(bed.Until([&] { return bed.m_got.find("p3") != std::string::npos; }));
+  CHECK(bed.m_got.find("p1") < bed.m_got.find("p2"));
+  CHECK(bed.m_got.find("p2") < bed.m_got.find("p3"));
+}
+
+TEST_CASE("a request lost with its endpoint is repeated only when idempotent",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  int sent = 0;
+  bed.SetScript([&](auto& aConnection, auto& aHead) {
+    if (++sent == 1) {
+      aConnection.m_stream->Reset();
+    } else {
+      ScriptedEndpoint::Serve(aConnection, aHead);
+    }
+  });
+  SECTION("idempotent")
+  {
+    // The budget allows a repeat.
+    CHECK(Bed::Is(bed.Ask("/safe/x", "a"), 200));
+    CHECK(bed.Arrived() == 2);
+  }
+  SECTION("never-repeat")
+  {
+    CHECK(Bed::Is(bed.Ask("/once/x", "a"), 502));
+    CHECK(bed.Arrived() == 1);
+  }
+}
+
+TEST_CASE("not run is said only of what has not run, with a time to come back",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  bed.SetScript([](auto& aConnection, auto& aHead) {
+    ScriptedEndpoint::Reply(aConnection,
+                            aHead,
+                            "503 Service Unavailable",
+                            "X-Sapphirehook-Not-Executed: 1\r\n",
+                            "");
+  });
+  const auto answer = bed.Ask("/once/x", "a");
+  CHECK(Bed::Is(answer, 503));
+  CHECK(answer.find("Retry-After: 0.") != std::string::npos);
+  CHECK(bed.Arrived() <= 2);
+}
+
+TEST_CASE("an answer that breaks off never looks whole", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  SECTION("a small one becomes a failure")
+  {
+    bed.SetScript([](auto& aConnection, auto& aHead) {
+      const auto* id = FindHeader(aHead.m_headers, "X-Sapphirehook-Attempt-Id");
+      aConnection.m_stream->Write(
+        Concat("HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: ",
+               *id,
+               "\r\nContent-Length: 100\r\n\r\nhalf"));
+      aConnection.m_stream->CloseAfterWrite();
+    });
+    CHECK(Bed::Is(bed.Ask("/once/x", "a"), 502));
+  }
+  SECTION("one without a length that is reset")
+  {
+    bed.SetScript([&](auto& aConnection, auto& aHead) {
+      const auto* id = FindHeader(aHead.m_headers, "X-Sapphirehook-Attempt-Id");
+      aConnection.m_stream->Write(
+        Concat("HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: ",
+               *id,
+               "\r\n\r\n",
+               std::string(200'000, 'x')));
+      auto* stream = aConnection.m_stream.get();
+      bed.m_loop.Defer([stream] { stream->Reset(); });
+    });
+    bed.Ask("/once/x", "a");
+    CHECK(
+      bed.Until([&] { return bed.m_callerEnded || Bed::Is(bed.m_got, 502); }));
+    CHECK(bed.m_got.find("0\r\n\r\n") == std::string::npos);
+  }
+  SECTION("one without a length that ends in order is whole")
+  {
+    bed.SetScript([&](auto& aConnection, auto& aHead) {
+      const auto* id = FindHeader(aHead.m_headers, "X-Sapphirehook-Attempt-Id");
+      aConnection.m_stream->Write(Concat("HTTP/1.1 200 OK\r\n",
+                                         "X-Sapphirehook-Attempt-Id: ",
+                                         *id,
+                                         "\r\n\r\nall of it"));
+      aConnection.m_stream->CloseAfterWrite();
+    });
+    const auto answer = bed.Ask("/once/x", "a");
+    CHECK(Bed::Is(answer, 200));
+    CHECK(answer.find("all of it") != std::string::npos);
+  }
+}
+
+TEST_CASE("bytes that belong to no request reach no caller", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain", false);
+  bool late = false;
+  bed.SetScript([&](auto& aConnection, auto& aHead) {
+    if (late) {
+      // The second answer to an earlier request comes first.
+      aConnection.m_stream->Write(
+        "HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: old\r\n"
+        "Content-Length: 5\r\n\r\nstale");
+    }
+    ScriptedEndpoint::Serve(aConnection, aHead);
+    if (!late) {
+      aConnection.m_stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                  "X-Sapphirehook-Attempt-Id: a\r\n\r\nagain");
+    }
+  });
+  SECTION("an extra answer behind the answer")
+  {
+    const auto first = bed.Ask("/safe/x", "a");
+    CHECK(first.find("again") == std::string::npos);
+    const auto second = bed.Ask("/safe/x", "b");
+    CHECK(second.find("Attempt-Id: b") != std::string::npos);
+    CHECK(second.find("again") == std::string::npos);
+  }
+  SECTION("an extra answer before the next answer")
+  {
+    late = true;
+    const auto answer = bed.Ask("/safe/x", "b");
+    CHECK(answer.find("stale") == std::string::npos);
+    CHECK(answer.find("done") != std::string::npos);
+  }
+  SECTION("garbage")
+  {
+    bed.SetScript([](auto& aConnection, auto&) {
+      aConnection.m_stream->Write("\x01\x02nothing of the kind\r\n\r\n");
+    });
+    CHECK(Bed::Is(bed.Ask("/once/x", "c"), 502));
+  }
+}
+
+TEST_CASE("when a caller leaves, its request is given up at the endpoint",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("plain", false);
+  bed.SetScript([](auto&, auto&) {});
+  bed.Send("GET /safe/x HTTP/1.1\r\nHost: h\r\n"
+           "X-Sapphirehook-Attempt-Id: a\r\n\r\n");
+  REQUIRE(bed.Until([&] { return bed.Arrived() == 1; }));
+  bed.m_caller->Close();
+  CHECK(bed.Until([&] { return bed.m_one.m_ended == 1; }, Millis(400)));
+}
+
+TEST_CASE("a request has its final answer at its route's timeout", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain", false);
+  bed.SetScript([](auto&, auto&) {});
+  const TimePoint begin = BootClock::now();
+  CHECK(Bed::Is(bed.Ask("/safe/x", "a", "X-Sapphirehook-Deadline-Ms: 5000\r\n"),
+                504));
+  const auto took = BootClock::now() - begin;
+  CHECK(took >= Millis(590));
+  CHECK(took < Millis(1100));
+  CHECK(bed.m_one.m_deadlines.front() != "");
+}
+
+TEST_CASE("the endpoint is told what is left of the caller's wait", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain", false);
+  bed.Ask("/safe/x", "a", "X-Sapphirehook-Deadline-Ms: 450\r\n");
+  const auto left = ParseWholeNumber(bed.m_one.m_deadlines.front());
+  REQUIRE(left.has_value());
+  CHECK(*left <= 450);
+  CHECK(*left > 300);
+}
+
+TEST_CASE("a key that its holder refuses waits for the map, then is served",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("keyed");
+  bed.m_engine.SetRange("keyed", { { 0, 65535 }, "one", true });
+  bed.m_one.m_script = [&](auto& aConnection, auto& aHead) {
+    ScriptedEndpoint::Reply(aConnection,
+                            aHead,
+                            "421 Misdirected Request",
+                            "X-Sapphirehook-Not-Executed: 1\r\n",
+                            "");
+    bed.m_engine.SetRange("keyed", { { 0, 65535 }, "two", true });
+  };
+  const auto answer =
+    bed.Ask("/keyed/x", "a", "X-Sapphirehook-Shard-Key: 77\r\n");
+  CHECK(Bed::Is(answer, 200));
+  CHECK(bed.m_two.m_arrived.size() == 1);
+}
+
+TEST_CASE("a key without a holder is refused as not run", "[gateway]")
+{
+  Bed bed;
+  bed.List("keyed");
+  bed.m_engine.SetRange("keyed", { { 0, 65535 }, "one", false });
+  CHECK(
+    Bed::Is(bed.Ask("/keyed/x", "a", "X-Sapphirehook-Shard-Key: 77\r\n"), 503));
+  CHECK(bed.Arrived() == 0);
+}
+
+TEST_CASE("a leaving endpoint gets no more work", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  auto record = bed.m_one.Record("plain");
+  record.m_draining = true;
+  bed.m_directory.OnRecord(BootClock::now(), record);
+  bed.m_engine.SetEndpoints(BootClock::now(), bed.m_directory);
+  for (int i = 0; i < 6; ++i) {
+    CHECK(Bed::Is(bed.Ask("/safe/x", Concat("id", i)), 200));
+  }
+  CHECK(bed.m_one.m_arrived.empty());
+}
+
+TEST_CASE("an endpoint without a listener costs no request", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  bed.m_one.StopListening();
+  for (int i = 0; i < 6; ++i) {
+    CHECK(Bed::Is(bed.Ask("/once/x", Concat("id", i)), 200));
+  }
+}
+
+TEST_CASE("an early answer leaves no half-sent body behind", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain", false);
+  bed.m_one.m_script = [](auto& aConnection, auto& aHead) {
+    ScriptedEndpoint::Reply(aConnection, aHead, "413 Too Large", "", "no");
+  };
+  bed.Send("POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n"
+           "X-Sapphirehook-Attempt-Id: a\r\n\r\n" +
+           std::string(1000, 'b'));
+  REQUIRE(bed.Until([&] { return Bed::Is(bed.m_got, 413); }));
+  bed.m_one.m_script = [](auto& aConnection, auto& aHead) {
+    ScriptedEndpoint::Serve(aConnection, aHead);
+  };
+  bed.Send(std::string(49'000, 'b'));
+  const auto answer = bed.Ask("/safe/x", "b");
+  CHECK(Bed::Is(answer, 200));
+  CHECK(bed.m_one.m_arrived.size() == 2);
+}
+
+TEST_CASE("a body is passed on whole, with a length or in chunks", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain", false);
+  bed.SetScript([](auto&, auto&) {});
+  const bool chunked = GENERATE(false, true);
+  std::string body(30'000, 'q');
+  std::string request = "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                        "X-Sapphirehook-Attempt-Id: a\r\n";
+  if (chunked) {
+    request +=
+      "Transfer-Encoding: chunked\r\n\r\n7530\r\n" + body + "\r\n0\r\n\r\n";
+  } else {
+    request += "Content-Length: 30000\r\n\r\n" + body;
+  }
+  bed.Send(request.substr(0, 9000));
+  bed.Until([] { return false; }, Millis(20));
+  bed.Send(request.substr(9000));
+  CHECK(bed.Until([&] { return bed.m_one.m_bodies == body; }));
+}
+
+TEST_CASE("callers that break the rules get a clear answer and no service",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  SECTION("a body beyond the limit")
+  {
+    bed.Send("POST /once/x HTTP/1.1\r\nHost: h\r\n"
+             "Content-Length: 100001\r\n\r\n");
+    CHECK(bed.Until([&] { return Bed::Is(bed.m_got, 413); }));
+  }
+  SECTION("a head that takes too long")
+  {
+    bed.Send("GET /safe/x HTTP/1.1\r\nHos");
+    CHECK(bed.Until([&] { return Bed::Is(bed.m_got, 408); }, Millis(900)));
+  }
+  SECTION("no host")
+  {
+    bed.Send("GET /safe/x HTTP/1.1\r\n\r\n");
+    CHECK(bed.Until([&] { return Bed::Is(bed.m_got, 400); }));
+  }
+  SECTION("two lengths")
+  {
+    bed.Send("POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+             "Content-Length: 2\r\n\r\nab");
+    CHECK(bed.Until([&] { return Bed::Is(bed.m_got, 400); }));
+  }
+  CHECK(bed.Arrived() == 0);
+}
+
+TEST_CASE("a stopping daemon answers what it has and then closes", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  CHECK(Bed::Is(bed.Ask("/safe/x", "a"), 200));
+  bed.m_engine.BeginStop();
+  const auto answer = bed.Ask("/safe/x", "b");
+  CHECK(Bed::Is(answer, 200));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(bed.Until([&] { return bed.m_callerEnded; }));
+  CHECK(bed.m_engine.Unanswered() == 0);
+}
+
+TEST_CASE("an idle connection of a stopping daemon is closed", "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  CHECK(Bed::Is(bed.Ask("/safe/x", "a"), 200));
+  bed.m_engine.BeginStop();
+  bed.m_engine.CloseIdleCallers();
+  CHECK(bed.Until([&] { return bed.m_callerEnded; }));
+}
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -72,8 +72,7 @@
   SECTION("without any sign of it")
   {
     leadership.OnClaimed(At(2000), 2);
-    CHECK(leadership.ForeignGrantsEnd() ==
-          At(2000) + times.m_authority + hold);
+    CHECK(leadership.ForeignGrantsEnd() == At(2000) + times.m_authority + hold);
   }
   SECTION("when another run has started on its host")
   {
--- a/test/sapphirehook/keys/range_keeper.cpp
+++ b/test/sapphirehook/keys/range_keeper.cpp
@@ -128,7 +128,8 @@
       to be opened anew. */
   void Send(int aLeader, Keeper& aKeeper, Order aOrder)
   {
-    auto& life = m_connections.at(static_cast<std::size_t>(aLeader))[aOrder.m_endpoint];
+    auto& life =
+      m_connections.at(static_cast<std::size_t>(aLeader))[aOrder.m_endpoint];
     const auto actual = Endpoint(aOrder.m_endpoint).m_life.m_startedAt;
     if (life != actual || m_reconnected.contains(aOrder.m_endpoint)) {
       const bool known = life != 0;
@@ -162,7 +163,7 @@
 
   Keeper* LeaderOf(const Order& aOrder)
   {
-    return aOrder.m_leader == m_term ? m_keeper.get()
+    return aOrder.m_leader == m_term       ? m_keeper.get()
            : aOrder.m_leader + 1 == m_term ? m_old.get()
                                            : nullptr;
   }
@@ -285,11 +286,25 @@
       const auto& endpoint = Endpoint(aLife.m_name);
       const bool holds = endpoint.m_cells.at(aCell).m_until > m_now;
       if (life != aLife && fence >= aFence && holds) {
-        m_fault = Concat("fence ", aFence >> 20U, ".", aFence & 0xFFFFFU,
-                         " of ", aLife.m_name, "#", aLife.m_startedAt,
-                         " is not above ", fence >> 20U, ".",
-                         fence & 0xFFFFFU, " of ", life.m_name, "#",
-                         life.m_startedAt, " for cell ", aCell, " at ",
+        m_fault = Concat("fence ",
+                         aFence >> 20U,
+                         ".",
+                         aFence & 0xFFFFFU,
+                         " of ",
+                         aLife.m_name,
+                         "#",
+                         aLife.m_startedAt,
+                         " is not above ",
+                         fence >> 20U,
+                         ".",
+                         fence & 0xFFFFFU,
+                         " of ",
+                         life.m_name,
+                         "#",
+                         life.m_startedAt,
+                         " for cell ",
+                         aCell,
+                         " at ",
                          SinceBoot(m_now).count());
       }
     }
@@ -318,8 +333,7 @@
     if (Draw(40) == 0) {
       const auto first = static_cast<std::uint32_t>(Draw(kCells)) * kCellKeys;
       const auto cells = 1 + static_cast<std::uint32_t>(Draw(2));
-      const auto last =
-        std::min(first + cells * kCellKeys, kKeyCount) - 1;
+      const auto last = std::min(first + cells * kCellKeys, kKeyCount) - 1;
       m_keeper->Move(m_now,
                      { static_cast<Key>(first), static_cast<Key>(last) },
                      "e" + std::to_string(Draw(4)));
@@ -511,9 +525,8 @@
       }
     }
   }
-  CHECK(std::all_of(covered.begin(), covered.end(), [](int aCount) {
-    return aCount == 1;
-  }));
+  CHECK(std::all_of(
+    covered.begin(), covered.end(), [](int aCount) { return aCount == 1; }));
 }
 
 TEST_CASE("a range of a silent endpoint moves only after its hold", "[keys]")
@@ -533,8 +546,7 @@
     for (const auto& route : keeper.Routes()) {
       map.Assign(route);
     }
-    return map.Find(aKey)->m_ready ? map.Find(aKey)->m_endpoint
-                                   : std::string();
+    return map.Find(aKey)->m_ready ? map.Find(aKey)->m_endpoint : std::string();
   };
   const Key key = 0;
   REQUIRE(holderOf(key) == "e0");
--- a/test/sapphirehook/keys/range_map.cpp
+++ b/test/sapphirehook/keys/range_map.cpp
@@ -14,8 +14,8 @@
   for (int round = 0; round < 300; ++round) {
     const auto first = static_cast<Key>(support::Draw(random, kKeyCount));
     const auto size = support::Draw(random, 3000);
-    const auto last = static_cast<Key>(
-      std::min<std::uint64_t>(first + size, kKeyCount - 1));
+    const auto last =
+      static_cast<Key>(std::min<std::uint64_t>(first + size, kKeyCount - 1));
     const auto endpoint = "e" + std::to_string(support::Draw(random, 20));
     map.Assign({ { first, last }, endpoint, true });
     std::fill(naive.begin() + first, naive.begin() + last + 1, endpoint);
--- a/test/sapphirehook/keys/range_planner.cpp
+++ b/test/sapphirehook/keys/range_planner.cpp
@@ -35,10 +35,10 @@
   const std::uint32_t size = kKeyCount / static_cast<std::uint32_t>(aRanges);
   for (int i = 0; i < aRanges; ++i) {
     const auto first = static_cast<std::uint32_t>(i) * size;
-    ranges.push_back({ { static_cast<Key>(first),
-                         static_cast<Key>(first + size - 1) },
-                       "e" + std::to_string(i % aEndpoints),
-                       false });
+    ranges.push_back(
+      { { static_cast<Key>(first), static_cast<Key>(first + size - 1) },
+        "e" + std::to_string(i % aEndpoints),
+        false });
   }
   return ranges;
 }
@@ -140,17 +140,16 @@
   CHECK(keys > kKeyCount / 16 / 3);
 }
 
-TEST_CASE("the counter is exact while it has room, and never too low",
-          "[keys]")
+TEST_CASE("the counter is exact while it has room, and never too low", "[keys]")
 {
   std::mt19937 random(2);
   for (const std::size_t counters : { 8U, 64U }) {
     HotKeyCounter counter(counters);
     std::map<Key, std::uint32_t> naive;
     for (int i = 0; i < 400; ++i) {
-      const auto key = static_cast<Key>(
-        support::Draw(random, 2) == 0 ? support::Draw(random, 4)
-                                      : support::Draw(random, 40));
+      const auto key = static_cast<Key>(support::Draw(random, 2) == 0
+                                          ? support::Draw(random, 4)
+                                          : support::Draw(random, 40));
       counter.Count(key);
       ++naive[key];
     }
--- a/test/sapphirehook/parsers.cpp
+++ b/test/sapphirehook/parsers.cpp
@@ -1,11 +1,11 @@
 #include "sapphirehook/core/address.hpp"
 #include "sapphirehook/daemon/settings.hpp"
 #include "sapphirehook/endpoint/grant.hpp"
+#include "sapphirehook/log/log_service.hpp"
 #include "sapphirehook/operator/ticket.hpp"
 #include "sapphirehook/operator/timeline.hpp"
 #include "sapphirehook/ownership/record.hpp"
 #include "sapphirehook/peer/message.hpp"
-#include "sapphirehook/log/log_service.hpp"
 #include "support/generate.hpp"
 
 #include <catch2/catch.hpp>
