Leaders outlast outages; relays in large fleets; turns to claim after an outage

After the outage five daemons claimed at once, and each claim without a known predecessor cost 19 s in which moves off lost endpoints waited. Ruled out: the crest alone; refusals went on through the calm seconds 36 to 44. Change: beats tell the age of the last answer and the last resignation; peers probe while the leader is in trouble; it resigns only when another has reached the store for 1.5 s; turns to claim count from the store's return. In fleets of more than 16 the leader relays records; a read under way is left to finish; only the newest record of a key is taken.

--- a/programs/sapphirehook-gateway.cpp
+++ b/programs/sapphirehook-gateway.cpp
@@ -2,7 +2,6 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
 #include <csignal>
-#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -12,8 +11,6 @@
 
 using namespace sapphirehook;
 
-/** The platform places the settings file at the path in this variable. */
-constexpr const char* kSettingsVariable = "SAPPHIREHOOK_NODE_FILE";
 /** How often the settings file is looked at, as it may change silently. */
 constexpr Millis kSettingsEvery{ 1000 };
 
@@ -29,7 +26,7 @@
 std::string
 SettingsPath(int aCount, char** aWords)
 {
-  const char* placed = std::getenv(kSettingsVariable);
+  const char* placed = platform::PlacedSettings();
   cxxopts::Options options("sapphirehook-gateway",
                            "Routes requests straight to endpoints that check "
                            "what they are asked to run.");
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -20,6 +20,11 @@
 /** Pause after records in a large fleet, where each change is a call for each
     daemon. */
 constexpr Millis kGatherInLargeFleet{ 400 };
+/** Largest record, in bytes, that is passed on in a datagram. */
+constexpr std::size_t kMaxRelayed = 1100;
+/** While the leader does not reach the store, the others make a call this
+    often to see whether they do. */
+constexpr Millis kProbeAfter{ 1000 };
 /** A daemon this long behind its peers in a topic reads anew. */
 constexpr Millis kBehindFor{ 300 };
 /** An entry that may have lapsed counts as removed this long before a leaving
@@ -91,18 +96,22 @@
                [this](const std::string& aHost, const sockaddr_in& aAddress) {
                  m_gossip.AddPeer(aHost, aAddress);
                })
-  , m_configReader(
-      m_loop,
-      m_protocol.m_store,
-      ToSocketAddress(m_settings.m_store),
-      m_protocol.m_configTopic,
-      kReads,
-      TopicEvents{
-        [this](const KeyedRecord& aRecord) { OnConfig(aRecord); },
-        [this](Offset, TimePoint) { OnStoreWorks(m_protocol.m_configTopic); },
-        [this](StoreAnswer aAnswer) {
-          OnStoreTrouble(m_protocol.m_configTopic, aAnswer);
-        } })
+  , m_configReader(m_loop,
+                   m_protocol.m_store,
+                   ToSocketAddress(m_settings.m_store),
+                   m_protocol.m_configTopic,
+                   kReads,
+                   TopicEvents{ [this](const KeyedRecord& aRecord) {
+                                 RelayRecord(m_protocol.m_configTopic, aRecord);
+                                 OnConfig(aRecord);
+                               },
+                                [this](Offset, TimePoint) {
+                                  OnStoreWorks(m_protocol.m_configTopic);
+                                },
+                                [this](StoreAnswer aAnswer) {
+                                  OnStoreTrouble(m_protocol.m_configTopic,
+                                                 aAnswer);
+                                } })
   , m_endpointReader(
       m_loop,
       m_protocol.m_store,
@@ -110,7 +119,10 @@
       m_protocol.m_endpointTopic,
       kReads,
       TopicEvents{
-        [this](const KeyedRecord& aRecord) { OnEndpoint(aRecord); },
+        [this](const KeyedRecord& aRecord) {
+          RelayRecord(m_protocol.m_endpointTopic, aRecord);
+          OnEndpoint(aRecord);
+        },
         [this](Offset, TimePoint) { OnStoreWorks(m_protocol.m_endpointTopic); },
         [this](StoreAnswer aAnswer) {
           OnStoreTrouble(m_protocol.m_endpointTopic, aAnswer);
@@ -296,6 +308,7 @@
     m_storeWorks = true;
     m_log.Write(LogLine("store-reached").Add("topic", aTopic));
   }
+  m_storeProvenAt = BootClock::now();
   m_ownership.SetStoreWorks(true);
 }
 
@@ -307,9 +320,18 @@
     TakeUse(now, aFrom, *beat);
     if (!beat->m_storeWorks) {
       m_peerTroubleAt = now;
+      if (beat->m_leads && now >= m_storeProvenAt + kProbeAfter &&
+          now >= m_probedAt + kProbeAfter) {
+        // The leader asks itself whether another should lead.
+        m_probedAt = now;
+        m_endpointReader.Probe();
+      }
     }
     CompareEnds(*beat);
   }
+  if (const auto* relay = std::get_if<TopicRelay>(&aMessage)) {
+    OnRelay(*relay);
+  }
   m_ownership.OnMessage(aFrom, aMessage);
   if (std::holds_alternative<Beat>(aMessage)) {
     m_engine.Pump();
@@ -323,6 +345,7 @@
 {
   if (aBeat.m_leads && aBeat.m_daemons > 0) {
     m_daemons = aBeat.m_daemons;
+    m_leaderReads = aBeat.m_storeWorks;
   }
   if (IsLargeFleet() && aBeat.m_leads) {
     std::map<std::uint32_t, std::uint32_t> totals;
@@ -355,9 +378,11 @@
       }
       continue;
     }
-    if (since == TimePoint{}) {
+    // What the leader has read and not passed on is read at once.
+    const bool missed = reader->IsPaused() && aBeat.m_leads;
+    if (since == TimePoint{} && !missed) {
       since = now;
-    } else if (now >= since + kBehindFor) {
+    } else if (missed || now >= since + kBehindFor) {
       since = {};
       m_log.Write(LogLine("reader-behind")
                     .Add("topic", topic)
@@ -377,6 +402,9 @@
   beat.m_uses = m_engine.Uses();
   beat.m_ends[m_protocol.m_configTopic] = m_configReader.End();
   beat.m_ends[m_protocol.m_endpointTopic] = m_endpointReader.End();
+  beat.m_storeWorks = m_storeWorks;
+  beat.m_storeProofAgeMs =
+    std::chrono::duration_cast<Millis>(now - m_storeProvenAt).count();
   m_ownership.FillBeat(beat);
   const auto leader = m_ownership.Leader(now);
   if (IsLargeFleet() && beat.m_leads) {
@@ -403,9 +431,57 @@
   }
   m_configReader.SetTimes(times);
   m_endpointReader.SetTimes(times);
+  ChooseReaders(leader);
   m_log.Flush();
 }
 
+/** In a large fleet the leader alone waits for records and passes them on; the
+    others follow the store themselves when it is silent or cut off. */
+void
+Gateway::ChooseReaders(const std::optional<HostId>& aLeader)
+{
+  const bool relayed = IsLargeFleet() && aLeader &&
+                       aLeader->m_host != m_settings.m_host && m_leaderReads;
+  for (auto* reader : { &m_configReader, &m_endpointReader }) {
+    if (relayed) {
+      reader->Pause();
+    } else {
+      reader->Resume();
+    }
+  }
+}
+
+void
+Gateway::RelayRecord(const std::string& aTopic, const KeyedRecord& aRecord)
+{
+  if (!IsLargeFleet() || !m_ownership.Leads() ||
+      aRecord.m_value.value_or("").size() > kMaxRelayed) {
+    return; // what is not passed on is read by each daemon itself
+  }
+  TopicRelay relay{ aTopic, aRecord.m_offset, {} };
+  relay.m_records.push_back({ aRecord.m_key,
+                              aRecord.m_value.has_value(),
+                              aRecord.m_value.value_or("") });
+  m_gossip.SendAll(BootClock::now(), relay);
+}
+
+void
+Gateway::OnRelay(const TopicRelay& aRelay)
+{
+  std::vector<KeyedRecord> records;
+  Offset offset = aRelay.m_first;
+  for (const auto& record : aRelay.m_records) {
+    KeyedRecord one{ offset++, record.m_key, std::nullopt };
+    if (record.m_hasValue) {
+      one.m_value = record.m_value;
+    }
+    records.push_back(std::move(one));
+  }
+  auto& reader = aRelay.m_topic == m_protocol.m_configTopic ? m_configReader
+                                                            : m_endpointReader;
+  reader.Accept(records);
+}
+
 void
 Gateway::Reload(const absl::StatusOr<GatewaySettings>& aSettings)
 {
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -41,6 +41,9 @@
   void TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void SendBeat();
   void CompareEnds(const Beat& aBeat);
+  void RelayRecord(const std::string& aTopic, const KeyedRecord& aRecord);
+  void OnRelay(const TopicRelay& aRelay);
+  void ChooseReaders(const std::optional<HostId>& aLeader);
   void OnStopTick();
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool IsLargeFleet() const noexcept;
@@ -67,11 +70,15 @@
   std::uint64_t m_configVersion = 0;
   std::size_t m_daemons = 1;
   bool m_storeWorks = false;
+  TimePoint m_storeProvenAt{};
+  TimePoint m_probedAt{};
   TimePoint m_troubleAt{};
   TimePoint m_peerTroubleAt{};
   bool m_endpointsQueued = false;
   bool m_stopping = false;
   TimePoint m_stopBegan{};
+  /** Whether the leader last said that it reaches the store. */
+  bool m_leaderReads = false;
   /** Since when a peer has been ahead of this daemon in a topic. */
   std::map<std::string, TimePoint> m_behindSince;
 };
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -33,6 +33,8 @@
 constexpr Millis kGatherEndpoints{ 400 };
 /** Terms are this far apart in fences: more than a term's changes. */
 constexpr unsigned kFenceTermBits = 22;
+/** Time between two tries to claim. */
+constexpr Millis kClaimEvery{ 300 };
 /** Daemons that a leader names to claim after it. */
 constexpr std::size_t kHeirs = 4;
 /** Ranges beyond which no more are cut. */
@@ -120,7 +122,7 @@
   } else if (m_reader) {
     StepDown("another daemon leads");
   } else if (!m_claiming && !m_stopping && !KeyedServices().empty() &&
-             m_leadership.ShouldClaim(now, m_storeWorks)) {
+             m_leadership.ShouldClaim(now)) {
     TryClaim();
   }
 }
@@ -130,9 +132,11 @@
 void
 Ownership::TryClaim()
 {
-  if (m_writer.IsBusy()) {
+  const TimePoint now = BootClock::now();
+  if (m_writer.IsBusy() || now < m_triedAt + kClaimEvery) {
     return;
   }
+  m_triedAt = now;
   m_claiming = true;
   m_newestAfter.clear();
   m_stored.clear();
@@ -172,7 +176,7 @@
       m_leadership.OnRecord(now, *record);
     }
   }
-  if (!m_leadership.ShouldClaim(now, m_storeWorks)) {
+  if (!m_leadership.ShouldClaim(now)) {
     m_claiming = false; // a leader was heard of meanwhile
     return;
   }
@@ -653,7 +657,10 @@
 {
   aBeat.m_term = m_leadership.HighestTerm();
   aBeat.m_leads = m_leadership.Leads();
-  aBeat.m_storeWorks = m_storeWorks;
+  aBeat.m_resignedTerm = m_leadership.ResignedTerm();
+  aBeat.m_resignedEndsInMs = std::chrono::duration_cast<Millis>(
+                               m_leadership.ResignedEnds() - BootClock::now())
+                               .count();
   for (const auto& [name, led] : m_led) {
     aBeat.m_maps[name] = { m_claimTerm, led.m_changes };
   }
@@ -706,7 +713,13 @@
                         aFrom,
                         beat->m_term,
                         beat->m_leads,
-                        { beat->m_storeWorks, beat->m_stopping, now });
+                        { beat->m_storeWorks,
+                          now - Millis(beat->m_storeProofAgeMs),
+                          beat->m_stopping,
+                          now });
+    m_leadership.OnResignationTold(
+      beat->m_resignedTerm,
+      now + Millis(std::max<std::int64_t>(beat->m_resignedEndsInMs, 0)));
     OnLeaderBeat(aFrom, *beat);
   } else if (const auto* report = std::get_if<KeyReport>(&aMessage)) {
     const auto led = m_led.find(report->m_service);
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -44,7 +44,10 @@
   void OnChange();
 
   /** Tells whether the store serves this daemon. */
-  void SetStoreWorks(bool aWorks) noexcept { m_storeWorks = aWorks; }
+  void SetStoreWorks(bool aWorks) noexcept
+  {
+    m_leadership.SetStoreWorks(BootClock::now(), aWorks);
+  }
 
   void OnMessage(const HostId& aFrom, const GossipMessage& aMessage);
 
@@ -146,11 +149,11 @@
   Timer m_planTimer;
   Timer m_storeTimer;
   bool m_tickQueued = false;
-  bool m_storeWorks = false;
   bool m_stopping = false;
 
   // A claim under way.
   bool m_claiming = false;
+  TimePoint m_triedAt{};
   std::string m_newestAfter;
   Offset m_newestEnd = 0;
   std::map<std::string, std::string> m_stored;
--- a/src/sapphirehook/gossip/fwd.hpp
+++ b/src/sapphirehook/gossip/fwd.hpp
@@ -11,6 +11,7 @@
 struct RouteRequest;
 struct RoutePage;
 struct Resignation;
+struct TopicRelay;
 class Gossip;
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -30,6 +30,12 @@
   bool m_leads = false;
   /** The sender reaches the store. */
   bool m_storeWorks = false;
+  /** Time since the store last answered it, in milliseconds. */
+  std::int64_t m_storeProofAgeMs = 0;
+  /** The last leader that stepped down in an orderly way, and when its grants
+      end, in milliseconds from now. */
+  Term m_resignedTerm = 0;
+  std::int64_t m_resignedEndsInMs = 0;
   bool m_stopping = false;
   /** Offsets that the sender has read of the topics all daemons follow. */
   std::map<std::string, Offset> m_ends;
@@ -45,6 +51,9 @@
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
                        m_storeWorks,
+                       m_storeProofAgeMs,
+                       m_resignedTerm,
+                       m_resignedEndsInMs,
                        m_stopping,
                        m_ends,
                        m_uses,
@@ -94,6 +103,26 @@
   MSGPACK_DEFINE_ARRAY(m_service, m_version, m_page, m_pages, m_routes)
 };
 
+/** Records of a followed topic, passed on by the leader in a large fleet. */
+struct TopicRelay
+{
+  struct Record
+  {
+    std::string m_key;
+    bool m_hasValue = false;
+    std::string m_value;
+
+    MSGPACK_DEFINE_ARRAY(m_key, m_hasValue, m_value)
+  };
+
+  std::string m_topic;
+  /** Offset of the first record; the others follow on it. */
+  Offset m_first = 0;
+  std::vector<Record> m_records;
+
+  MSGPACK_DEFINE_ARRAY(m_topic, m_first, m_records)
+};
+
 /** A leader that steps down in an orderly way. */
 struct Resignation
 {
@@ -104,8 +133,13 @@
   MSGPACK_DEFINE_ARRAY(m_term, m_grantsEndInMs)
 };
 
-using GossipMessage = std::
-  variant<Beat, KeyReport, RouteChange, RouteRequest, RoutePage, Resignation>;
+using GossipMessage = std::variant<Beat,
+                                   KeyReport,
+                                   RouteChange,
+                                   RouteRequest,
+                                   RoutePage,
+                                   Resignation,
+                                   TopicRelay>;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -15,6 +15,10 @@
 constexpr std::uint64_t kUnnamedSpread = 12;
 /** A leader that cannot reach the store makes room after this time. */
 constexpr Millis kResignAfter{ 2500 };
+/** Another daemon reaches the store when it had an answer within this time. */
+constexpr Millis kFreshProof{ 1500 };
+/** Others must reach the store for this long before a leader makes room. */
+constexpr Millis kOthersReachFor{ 1500 };
 /** One that has stepped down does not claim again for this long. */
 constexpr Millis kRestAfterResigning{ 5000 };
 
@@ -106,30 +110,59 @@
   return rank;
 }
 
+void
+Leadership::SetStoreWorks(TimePoint aNow, bool aWorks) noexcept
+{
+  if (aWorks && !m_storeWorks) {
+    m_storeSince = aNow;
+  }
+  m_storeWorks = aWorks;
+}
+
+void
+Leadership::OnResignationTold(Term aTerm, TimePoint aEnds) noexcept
+{
+  if (aTerm > m_resignedTerm) {
+    m_resignedTerm = aTerm;
+    m_resignedEnds = aEnds;
+  }
+}
+
 bool
-Leadership::ShouldClaim(TimePoint aNow, bool aStoreWorks) const
+Leadership::ShouldClaim(TimePoint aNow) const
 {
-  if (m_leads || !aStoreWorks ||
+  if (m_leads || !m_storeWorks ||
       (m_resignedAt != TimePoint{} &&
        aNow < m_resignedAt + kRestAfterResigning)) {
     return false;
   }
-  return aNow >=
-         m_leaderHeardAt + m_times.m_silence + Rank(aNow) * m_times.m_stagger;
+  // After an outage all daemons reach the store at once, and take their turns
+  // from then on.
+  const TimePoint since =
+    std::max(m_leaderHeardAt + m_times.m_silence, m_storeSince);
+  return aNow >= since + Rank(aNow) * m_times.m_stagger;
 }
 
 bool
-Leadership::ShouldResign(TimePoint aNow) const
+Leadership::ShouldResign(TimePoint aNow)
 {
-  if (!m_leads || aNow < m_provenAt + kResignAfter) {
-    return false;
-  }
-  return std::any_of(
-    m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
-      const auto& candidate = aOne.second;
-      return candidate.m_storeWorks && !candidate.m_stopping &&
-             aNow < candidate.m_heardAt + kCandidateFor;
-    });
+  const bool othersReach =
+    m_leads && aNow >= m_provenAt + kResignAfter &&
+    std::any_of(
+      m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
+        const auto& candidate = aOne.second;
+        // One whose last answer is older than the trouble may be cut off too.
+        return candidate.m_storeWorks && !candidate.m_stopping &&
+               aNow < candidate.m_heardAt + kCandidateFor &&
+               aNow < candidate.m_storeProvenAt + kFreshProof;
+      });
+  if (!othersReach) {
+    m_othersReachSince = {};
+  } else if (m_othersReachSince == TimePoint{}) {
+    m_othersReachSince = aNow;
+  }
+  // At the end of an outage the others may be served a moment earlier.
+  return othersReach && aNow >= m_othersReachSince + kOthersReachFor;
 }
 
 /** When the grants of the recorded leader have run out. Without a sign that it
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -49,6 +49,8 @@
 struct Candidate
 {
   bool m_storeWorks = false;
+  /** When the store last answered it. */
+  TimePoint m_storeProvenAt{};
   bool m_stopping = false;
   TimePoint m_heardAt{};
 };
@@ -85,11 +87,14 @@
                   Term aTerm,
                   Millis aEnds);
 
+  /** The store serves this daemon from now on, or no longer. */
+  void SetStoreWorks(TimePoint aNow, bool aWorks) noexcept;
+
   /** Whether this daemon should claim now. */
-  [[nodiscard]] bool ShouldClaim(TimePoint aNow, bool aStoreWorks) const;
+  [[nodiscard]] bool ShouldClaim(TimePoint aNow) const;
 
   /** Whether a leader without the store should make room for another. */
-  [[nodiscard]] bool ShouldResign(TimePoint aNow) const;
+  [[nodiscard]] bool ShouldResign(TimePoint aNow);
 
   /** The store holds this daemon's claim. */
   void OnClaimed(TimePoint aNow, Term aTerm);
@@ -117,6 +122,16 @@
   /** Last time at which the store proved that no later leader has claimed. */
   [[nodiscard]] TimePoint ProvenAt() const noexcept { return m_provenAt; }
 
+  /** The last leader known to have stepped down in an orderly way. */
+  [[nodiscard]] Term ResignedTerm() const noexcept { return m_resignedTerm; }
+  [[nodiscard]] TimePoint ResignedEnds() const noexcept
+  {
+    return m_resignedEnds;
+  }
+
+  /** Takes a peer's word of a leader that stepped down. */
+  void OnResignationTold(Term aTerm, TimePoint aEnds) noexcept;
+
   /** Highest term known. */
   [[nodiscard]] Term HighestTerm() const noexcept { return m_term; }
 
@@ -157,6 +172,10 @@
   /** When the grants of the recorded leader's predecessors have run out. */
   TimePoint m_earlierEnds{};
   TimePoint m_resignedAt{};
+  /** Since when another daemon has reached the store and this leader not. */
+  TimePoint m_othersReachSince{};
+  bool m_storeWorks = false;
+  TimePoint m_storeSince{};
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-/** Beyond the wait that was asked for, an answer is due within this time; a
-    slow store has been seen to take 0.3 s. */
-constexpr Millis kAnswerSlack{ 700 };
-/** A call that does not wait is given up after this time. */
+/** Beyond the wait that was asked for, an answer is given up after this time;
+    a large configuration takes 1 s over a link of 10 Mbit/s. */
 constexpr Millis kCallTimeout{ 1500 };
+/** A call that waits for a record is given up this long after its wait; a slow
+    store has been seen to take 0.3 s. */
+constexpr Millis kAnswerSlack{ 800 };
 /** First and longest pause after a call that was not served. */
 constexpr Millis kFirstPause{ 100 };
 constexpr Millis kLongestPause{ 500 };
@@ -58,10 +59,23 @@
 void
 TopicReader::Refresh()
 {
+  if (m_client.IsBusy() && BootClock::now() < m_calledAt + kCallTimeout) {
+    return; // an answer may be on its way, slowly
+  }
   m_client.Abort();
   Next(Millis(0));
 }
 
+void
+TopicReader::Probe()
+{
+  if (!m_readingNewest) {
+    m_probing = true;
+    m_client.Abort();
+    Next(Millis(0));
+  }
+}
+
 void
 TopicReader::Stop()
 {
@@ -69,6 +83,51 @@
   m_client.Abort();
 }
 
+void
+TopicReader::Pause()
+{
+  if (!m_paused && m_caughtUp && !m_readingNewest) {
+    m_paused = true;
+    Stop();
+  }
+}
+
+void
+TopicReader::Resume()
+{
+  if (m_paused) {
+    m_paused = false;
+    m_timer.Start(Millis(0));
+  }
+}
+
+bool
+TopicReader::Accept(const std::vector<KeyedRecord>& aRecords)
+{
+  if (!m_paused || aRecords.empty() || m_client.IsBusy() ||
+      aRecords.front().m_offset != m_from) {
+    return false;
+  }
+  GiveNewest(aRecords);
+  return true;
+}
+
+/** Gives the last record of each key; those before it are out of date. */
+void
+TopicReader::GiveNewest(const std::vector<KeyedRecord>& aRecords)
+{
+  std::map<std::string, Offset> newest;
+  for (const auto& record : aRecords) {
+    newest[record.m_key] = record.m_offset;
+  }
+  for (const auto& record : aRecords) {
+    m_from = record.m_offset + 1;
+    if (newest[record.m_key] == record.m_offset) {
+      Give(record);
+    }
+  }
+}
+
 void
 TopicReader::Next(Millis aAfter)
 {
@@ -137,8 +196,12 @@
 TopicReader::ReadOn()
 {
   const TimePoint askedAt = BootClock::now();
-  m_client.Call(m_protocol.m_read(m_topic, m_from, m_times.m_wait),
-                m_times.m_wait + kAnswerSlack,
+  m_calledAt = askedAt;
+  const bool atOnce = m_paused || std::exchange(m_probing, false);
+  const Millis wait = atOnce ? Millis(0) : m_times.m_wait;
+  const Millis slack = m_paused ? kCallTimeout : kAnswerSlack;
+  m_client.Call(m_protocol.m_read(m_topic, m_from, wait),
+                wait + slack,
                 [this, askedAt](const CallResult& aResult) {
                   OnRead(m_protocol.m_parseRead(aResult, m_from), askedAt);
                 });
@@ -157,13 +220,13 @@
     return;
   }
   m_backoff.Reset();
-  for (const auto& record : aPage.m_records) {
-    m_from = record.m_offset + 1;
-    Give(record);
-  }
+  GiveNewest(aPage.m_records);
   if (m_from >= aPage.m_end) {
     m_events.m_onCaughtUp(m_from, aAskedAt);
   }
+  if (m_paused && m_from >= aPage.m_end) {
+    return;
+  }
   Next(aPage.m_records.empty() ? Millis(0) : m_times.m_gather);
 }
 
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -5,6 +5,7 @@
 #include "sapphirehook/store/store_protocol.hpp"
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 
@@ -49,11 +50,28 @@
       connection at once. */
   void Refresh();
 
+  /** Makes a call that does not wait, in place of one that does, to learn
+      whether the store answers. */
+  void Probe();
+
   void Stop();
 
+  /** Makes no more calls by itself, while others pass records on. Refresh
+      makes a single one. */
+  void Pause();
+
+  /** Follows the topic by itself again. */
+  void Resume();
+
+  /** Takes records that another daemon has read and passed on. Returns false
+      when they do not follow on what has been given. */
+  bool Accept(const std::vector<KeyedRecord>& aRecords);
+
   /** Changes the spacing of calls from the next one on. */
   void SetTimes(ReaderTimes aTimes) noexcept { m_times = aTimes; }
 
+  [[nodiscard]] bool IsPaused() const noexcept { return m_paused; }
+
   /** Offset behind the last record that was given. */
   [[nodiscard]] Offset End() const noexcept { return m_from; }
 
@@ -65,6 +83,7 @@
   void OnNewest(const KeyedPage& aPage);
   void ReadOn();
   void OnRead(const KeyedPage& aPage, TimePoint aAskedAt);
+  void GiveNewest(const std::vector<KeyedRecord>& aRecords);
   void Give(const KeyedRecord& aRecord);
   void FinishNewest();
   void OnFault(StoreAnswer aAnswer);
@@ -78,11 +97,14 @@
   Timer m_timer;
   Backoff m_backoff;
   bool m_caughtUp = false;
+  bool m_paused = false;
+  bool m_probing = false;
   bool m_readingNewest = true;
   Offset m_from = 0;
   Offset m_newestEnd = 0;
   std::string m_after;
   TimePoint m_newestAskedAt{};
+  TimePoint m_calledAt{};
   std::set<std::string> m_keys;
   std::set<std::string> m_listed;
 };
