--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -203,6 +203,7 @@
   void Complete(const TransactionPtr& aTransaction);
   void ReturnConnection(const TransactionPtr& aTransaction);
   void PumpService(Service& aService);
+  void AddRoom(LogLine& aLine, const Transaction& aTransaction);
   void LogRequest(const Transaction& aTransaction,
                   std::string_view aOutcome,
                   int aStatus,
--- a/test/documents.cpp
+++ b/test/documents.cpp
@@ -117,3 +117,26 @@
   }
   CHECK(rows >= results.size() - 1);
 }
+
+TEST_CASE("only the platform folder knows the platform's names", "[documents]")
+{
+  const std::regex names("X-Sapphirehook-|keyed\\.op|keyed\\.servers|"
+                         "/sapphirehook/(grant|release|ready|log-)|"
+                         "max-concurrency|warmup-left-ms|from-rev|"
+                         "end-offset|SAPPHIREHOOK_NODE_FILE|is-sharded");
+  for (const char* folder : { "src", "programs", "standin", "benchmark" }) {
+    const std::filesystem::path root(Concat(SAPPHIREHOOK_SOURCE_DIR, "/", folder));
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(root)) {
+      const auto extension = entry.path().extension();
+      if (extension != ".cpp" && extension != ".hpp") {
+        continue;
+      }
+      std::ifstream file(entry.path());
+      std::stringstream text;
+      text << file.rdbuf();
+      INFO(entry.path().string());
+      CHECK_FALSE(std::regex_search(text.str(), names));
+    }
+  }
+}
