--- a/test/documents.cpp
+++ b/test/documents.cpp
@@ -125,7 +125,8 @@
                          "max-concurrency|warmup-left-ms|from-rev|"
                          "end-offset|SAPPHIREHOOK_NODE_FILE|is-sharded");
   for (const char* folder : { "src", "programs", "standin", "benchmark" }) {
-    const std::filesystem::path root(Concat(SAPPHIREHOOK_SOURCE_DIR, "/", folder));
+    const std::filesystem::path root(
+      Concat(SAPPHIREHOOK_SOURCE_DIR, "/", folder));
     for (const auto& entry :
          std::filesystem::recursive_directory_iterator(root)) {
       const auto extension = entry.path().extension();
