--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -1,32 +1,20 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
+#include "sapphirehook/gateway/internal/reader_times.hpp"
+
 #include <utility>
 
 namespace sapphirehook {
 
+using namespace internal;
+
 namespace {
 
 /** Time between two beats to the peers. */
 constexpr Millis kBeatEvery{ 150 };
-/** How long a read of the followed topics waits for a record, and the pause
-    after records that gathers those that follow. Changes must be in force
-    within 2 s. */
-constexpr ReaderTimes kReads{ Millis(8000), Millis(60) };
-/** The same for the leader, which finds a silent connection sooner. */
-constexpr ReaderTimes kLeaderReads{ Millis(2000), Millis(60) };
 /** Up to this many daemons each one tells all others of itself; beyond, all
     tell the leader, which keeps the number of messages linear. */
 constexpr std::size_t kSmallFleet = 16;
-/** Pause after records in a large fleet, where each change is a call for each
-    daemon. */
-constexpr Millis kGatherInLargeFleet{ 400 };
-/** Largest record, in bytes, that is passed on in a datagram. */
-constexpr std::size_t kMaxRelayed = 1100;
-/** While the leader does not reach the store, the others make a call this
-    often to see whether they do. */
-constexpr Millis kProbeAfter{ 1000 };
-/** A daemon this long behind its peers in a topic reads anew. */
-constexpr Millis kBehindFor{ 300 };
 /** An entry that may have lapsed counts as removed this long before a leaving
     endpoint must get no more work, which covers the way to the endpoint. */
 constexpr Millis kDrainMargin{ 400 };
@@ -312,176 +300,6 @@
   m_ownership.SetStoreWorks(true);
 }
 
-void
-Gateway::OnMessage(const HostId& aFrom, const GossipMessage& aMessage)
-{
-  if (const auto* beat = std::get_if<Beat>(&aMessage)) {
-    const TimePoint now = BootClock::now();
-    TakeUse(now, aFrom, *beat);
-    if (!beat->m_storeWorks) {
-      m_peerTroubleAt = now;
-      if (beat->m_leads && now >= m_storeProvenAt + kProbeAfter &&
-          now >= m_probedAt + kProbeAfter) {
-        // The leader asks itself whether another should lead.
-        m_probedAt = now;
-        m_endpointReader.Probe();
-      }
-    }
-    CompareEnds(*beat);
-  }
-  if (const auto* relay = std::get_if<TopicRelay>(&aMessage)) {
-    OnRelay(*relay);
-  }
-  m_ownership.OnMessage(aFrom, aMessage);
-  if (std::holds_alternative<Beat>(aMessage)) {
-    m_engine.Pump();
-  }
-}
-
-/** In a large fleet only the leader knows every daemon's use; it tells all of
-    them the totals. */
-void
-Gateway::TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat)
-{
-  if (aBeat.m_leads && aBeat.m_daemons > 0) {
-    m_daemons = aBeat.m_daemons;
-    m_leaderReads = aBeat.m_storeWorks;
-  }
-  if (IsLargeFleet() && aBeat.m_leads) {
-    std::map<std::uint32_t, std::uint32_t> totals;
-    for (const auto& total : aBeat.m_totals) {
-      totals[total.m_endpointHash] = total.m_running;
-    }
-    m_engine.OnFleetUse(aNow, totals);
-  } else if (!IsLargeFleet() || m_ownership.Leads()) {
-    m_engine.OnPeerUse(aNow, aFrom.m_host, aBeat.m_uses);
-  }
-}
-
-/** Reads anew when a peer has been ahead for a while: the connection of the
-    read under way may have gone silent. */
-void
-Gateway::CompareEnds(const Beat& aBeat)
-{
-  const TimePoint now = BootClock::now();
-  for (auto* reader : { &m_configReader, &m_endpointReader }) {
-    const auto& topic = reader == &m_configReader ? m_protocol.m_configTopic
-                                                  : m_protocol.m_endpointTopic;
-    const auto end = aBeat.m_ends.find(topic);
-    auto& since = m_behindSince[topic];
-    if (end == aBeat.m_ends.end() || !reader->IsCaughtUp()) {
-      continue;
-    }
-    if (end->second <= reader->End()) {
-      if (since != TimePoint{} && now >= since + kBehindFor) {
-        since = {};
-      }
-      continue;
-    }
-    // What the leader has read and not passed on is read at once.
-    const bool missed = reader->IsPaused() && aBeat.m_leads;
-    if (since == TimePoint{} && !missed) {
-      since = now;
-    } else if (missed || now >= since + kBehindFor) {
-      since = {};
-      m_log.Write(LogLine("reader-behind")
-                    .Add("topic", topic)
-                    .Add("have", reader->End())
-                    .Add("peer_has", end->second));
-      reader->Refresh();
-    }
-  }
-}
-
-void
-Gateway::SendBeat()
-{
-  const TimePoint now = BootClock::now();
-  Beat beat;
-  beat.m_stopping = m_stopping;
-  beat.m_uses = m_engine.Uses();
-  beat.m_ends[m_protocol.m_configTopic] = m_configReader.End();
-  beat.m_ends[m_protocol.m_endpointTopic] = m_endpointReader.End();
-  beat.m_storeWorks = m_storeWorks;
-  beat.m_storeProofAgeMs =
-    std::chrono::duration_cast<Millis>(now - m_storeProvenAt).count();
-  m_ownership.FillBeat(beat);
-  const auto leader = m_ownership.Leader(now);
-  if (IsLargeFleet() && beat.m_leads) {
-    beat.m_uses.clear();
-    for (const auto& [hash, running] : m_engine.Totals(now)) {
-      beat.m_totals.push_back({ hash, running });
-    }
-  }
-  if (IsLargeFleet() && leader && !beat.m_leads) {
-    m_gossip.SendTo(leader->m_host, beat);
-    beat.m_uses.clear();
-    m_gossip.SendNext(beat);
-  } else {
-    m_gossip.SendAll(now, beat);
-  }
-  m_ownership.ReportKeys();
-  if (!IsLargeFleet() || beat.m_leads) {
-    m_daemons = m_gossip.AliveDaemons(now);
-  }
-  m_engine.SetDaemons(m_daemons);
-  auto times = m_ownership.Leads() ? kLeaderReads : kReads;
-  if (IsLargeFleet()) {
-    times.m_gather = kGatherInLargeFleet;
-  }
-  m_configReader.SetTimes(times);
-  m_endpointReader.SetTimes(times);
-  ChooseReaders(leader);
-  m_log.Flush();
-}
-
-/** In a large fleet the leader alone waits for records and passes them on; the
-    others follow the store themselves when it is silent or cut off. */
-void
-Gateway::ChooseReaders(const std::optional<HostId>& aLeader)
-{
-  const bool relayed = IsLargeFleet() && aLeader &&
-                       aLeader->m_host != m_settings.m_host && m_leaderReads;
-  for (auto* reader : { &m_configReader, &m_endpointReader }) {
-    if (relayed) {
-      reader->Pause();
-    } else {
-      reader->Resume();
-    }
-  }
-}
-
-void
-Gateway::RelayRecord(const std::string& aTopic, const KeyedRecord& aRecord)
-{
-  if (!IsLargeFleet() || !m_ownership.Leads() ||
-      aRecord.m_value.value_or("").size() > kMaxRelayed) {
-    return; // what is not passed on is read by each daemon itself
-  }
-  TopicRelay relay{ aTopic, aRecord.m_offset, {} };
-  relay.m_records.push_back({ aRecord.m_key,
-                              aRecord.m_value.has_value(),
-                              aRecord.m_value.value_or("") });
-  m_gossip.SendAll(BootClock::now(), relay);
-}
-
-void
-Gateway::OnRelay(const TopicRelay& aRelay)
-{
-  std::vector<KeyedRecord> records;
-  Offset offset = aRelay.m_first;
-  for (const auto& record : aRelay.m_records) {
-    KeyedRecord one{ offset++, record.m_key, std::nullopt };
-    if (record.m_hasValue) {
-      one.m_value = record.m_value;
-    }
-    records.push_back(std::move(one));
-  }
-  auto& reader = aRelay.m_topic == m_protocol.m_configTopic ? m_configReader
-                                                            : m_endpointReader;
-  reader.Accept(records);
-}
-
 void
 Gateway::Reload(const absl::StatusOr<GatewaySettings>& aSettings)
 {
--- /dev/null
+++ b/src/sapphirehook/gateway/internal/ownership_records.hpp
@@ -0,0 +1,21 @@
+#ifndef SAPPHIREHOOK_GATEWAY_INTERNAL_OWNERSHIP_RECORDS_HPP
+#define SAPPHIREHOOK_GATEWAY_INTERNAL_OWNERSHIP_RECORDS_HPP
+
+#include "sapphirehook/core/time.hpp"
+
+#include <cstddef>
+
+/** Keys of the ownership topic, and limits of calls about it. */
+namespace sapphirehook::internal {
+
+/** Topic of leadership and assignments. */
+inline constexpr const char* kTopic = "keyed.ownership";
+inline constexpr const char* kLeaderKey = "leader";
+inline constexpr const char* kRangePrefix = "ranges/";
+inline constexpr Millis kStoreTimeout{ 1200 };
+/** Routes in one datagram; it then fits the usual 1,500 bytes. */
+inline constexpr std::size_t kRoutesPerPage = 40;
+
+} // namespace sapphirehook::internal
+
+#endif
--- /dev/null
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -0,0 +1,372 @@
+#include "sapphirehook/gateway/ownership.hpp"
+
+#include "sapphirehook/gateway/internal/ownership_records.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// The leader's work: orders to endpoints, moves, and what is stored of them.
+
+namespace sapphirehook {
+
+using namespace internal;
+
+namespace {
+
+/** Wait before a store call that was turned away is made again. */
+constexpr Millis kStoreRetry{ 120 };
+/** Ranges for each endpoint at the start, so that the keys of one can be
+    dealt out to several. */
+constexpr std::size_t kRangesPerEndpoint = 6;
+/** The first endpoints of a service are waited for this long before its keys
+    are dealt out for the first time. */
+constexpr Millis kGatherEndpoints{ 400 };
+/** Terms are this far apart in fences: more than a term's changes. */
+constexpr unsigned kFenceTermBits = 22;
+/** Ranges beyond which no more are cut. */
+constexpr std::size_t kMaxRanges = 900;
+
+} // namespace
+
+bool
+Ownership::CanBegin(TimePoint aNow, const std::string& aService)
+{
+  const std::string prefix = kRangePrefix + aService + "/";
+  const auto stored = m_stored.lower_bound(prefix);
+  if (stored != m_stored.end() &&
+      stored->first.compare(0, prefix.size(), prefix) == 0) {
+    return true;
+  }
+  for (const auto& [name, known] : m_directory.All()) {
+    if (known.m_record.m_service == aService) {
+      const auto since = m_seenSince.try_emplace(aService, aNow).first->second;
+      return aNow >= since + kGatherEndpoints;
+    }
+  }
+  return false;
+}
+
+void
+Ownership::SyncServices(TimePoint aNow)
+{
+  for (const auto& name : KeyedServices()) {
+    if (m_led.contains(name) || !CanBegin(aNow, name)) {
+      continue;
+    }
+    const Fence first = (m_claimTerm << kFenceTermBits) + 1;
+    auto& led =
+      m_led
+        .try_emplace(
+          name, m_settings.m_keeper, first, m_leadership.ForeignGrantsEnd())
+        .first->second;
+    const std::string prefix = kRangePrefix + name + "/";
+    for (const auto& [key, value] : m_stored) {
+      if (key.compare(0, prefix.size(), prefix) != 0) {
+        continue;
+      }
+      const auto assignments = Unpack<std::vector<RangeAssignment>>(value);
+      if (!assignments.ok()) {
+        m_log.Write(LogLine("assignments-unreadable")
+                      .Add("key", key)
+                      .Add("why", assignments.status().ToString()));
+        continue;
+      }
+      for (const auto& assignment : *assignments) {
+        led.m_keeper.Load(assignment);
+      }
+    }
+    std::size_t endpoints = 0;
+    for (const auto& [endpoint, known] : m_directory.All()) {
+      endpoints += known.m_record.m_service == name ? 1 : 0;
+    }
+    led.m_keeper.CoverAll(static_cast<unsigned>(
+      std::max<std::size_t>(endpoints, 1) * kRangesPerEndpoint));
+  }
+}
+
+std::vector<KeeperEndpoint>
+Ownership::KeeperEndpoints(TimePoint aNow, const std::string& aService)
+{
+  std::vector<KeeperEndpoint> endpoints;
+  for (const auto& [name, known] : m_directory.All()) {
+    if (known.m_record.m_service != aService) {
+      continue;
+    }
+    KeeperEndpoint endpoint;
+    endpoint.m_life = known.m_record.m_life;
+    endpoint.m_usable = m_directory.IsUsable(aNow, known);
+    const auto orders = m_orders.find(name);
+    if (orders != m_orders.end() && orders->second->Life() == endpoint.m_life) {
+      endpoint.m_silent = orders->second->IsSilent(aNow);
+      endpoint.m_dead = orders->second->IsDead();
+    }
+    endpoint.m_capacity = m_engine.CapacityOf(name);
+    endpoints.push_back(std::move(endpoint));
+  }
+  return endpoints;
+}
+
+EndpointOrders*
+Ownership::OrdersOf(const std::string& aEndpoint)
+{
+  const auto* known = m_directory.Find(aEndpoint);
+  auto& orders = m_orders[aEndpoint];
+  if (known != nullptr && orders && orders->Life() != known->m_record.m_life) {
+    m_loop.Retire(std::shared_ptr<EndpointOrders>(std::move(orders)));
+  }
+  if (known != nullptr && !orders) {
+    const std::string service = known->m_record.m_service;
+    orders = std::make_unique<EndpointOrders>(
+      m_loop,
+      m_protocol,
+      known->m_record,
+      OrderEvents{
+        [this, service](std::uint64_t aId, const OrderAnswer& aAnswer) {
+          const auto led = m_led.find(service);
+          if (led != m_led.end()) {
+            led->second.m_keeper.OnGrantEnd(BootClock::now(), aId, aAnswer);
+            TickSoon();
+          }
+        },
+        [this, service](std::uint64_t aId, const OrderAnswer& aAnswer) {
+          const auto led = m_led.find(service);
+          if (led != m_led.end()) {
+            led->second.m_keeper.OnReleaseEnd(BootClock::now(), aId, aAnswer);
+            TickSoon();
+          }
+        },
+        [this, service, aEndpoint] {
+          const auto led = m_led.find(service);
+          if (led != m_led.end()) {
+            led->second.m_keeper.OnNewConnection(BootClock::now(), aEndpoint);
+          }
+        } });
+  }
+  return orders.get();
+}
+
+void
+Ownership::TickLed()
+{
+  const TimePoint now = BootClock::now();
+  if (!m_leadership.HasAuthority(now)) {
+    return;
+  }
+  SyncServices(now);
+  for (auto& [name, led] : m_led) {
+    TickService(now, name, led);
+  }
+  StoreChanges();
+}
+
+void
+Ownership::TickService(TimePoint aNow, const std::string& aName, Led& aLed)
+{
+  aLed.m_keeper.SetEndpoints(KeeperEndpoints(aNow, aName));
+  aLed.m_keeper.SetProvenAt(m_leadership.ProvenAt());
+  const auto actions = aLed.m_keeper.Tick(aNow);
+  for (const auto& grant : actions.m_grants) {
+    if (auto* orders = OrdersOf(grant.m_endpoint)) {
+      orders->Grant(grant);
+    } else {
+      aLed.m_keeper.OnGrantEnd(aNow, grant.m_id, { OrderEnd::NotSent, "" });
+    }
+  }
+  for (const auto& release : actions.m_releases) {
+    m_log.Write(LogLine("release-sent")
+                  .Add("endpoint", release.m_endpoint)
+                  .Add("first", release.m_order.m_range.m_first)
+                  .Add("last", release.m_order.m_range.m_last)
+                  .Add("fence", release.m_order.m_fence));
+    if (auto* orders = OrdersOf(release.m_endpoint)) {
+      orders->Release(release);
+    } else {
+      aLed.m_keeper.OnReleaseEnd(aNow, release.m_id, { OrderEnd::NotSent, "" });
+    }
+  }
+  PublishRoutes(aName, aLed, actions.m_routes);
+}
+
+void
+Ownership::PublishRoutes(const std::string& aService,
+                         Led& aLed,
+                         const std::vector<RangeRoute>& aRoutes)
+{
+  if (aRoutes.empty()) {
+    return;
+  }
+  const TimePoint now = BootClock::now();
+  for (const auto& route : aRoutes) {
+    m_engine.SetRange(aService, route);
+  }
+  for (std::size_t first = 0; first < aRoutes.size(); first += kRoutesPerPage) {
+    RouteChange change;
+    change.m_service = aService;
+    change.m_from = { m_claimTerm, aLed.m_changes };
+    change.m_to = { m_claimTerm, ++aLed.m_changes };
+    const auto last = std::min(first + kRoutesPerPage, aRoutes.size());
+    change.m_routes.assign(aRoutes.begin() + static_cast<long>(first),
+                           aRoutes.begin() + static_cast<long>(last));
+    m_gossip.SendAll(now, change);
+  }
+  m_engine.Pump();
+}
+
+void
+Ownership::Plan()
+{
+  const TimePoint now = BootClock::now();
+  if (!m_leadership.HasAuthority(now)) {
+    return;
+  }
+  for (auto& [name, led] : m_led) {
+    led.m_planner.Add(m_engine.TakeKeyCounts(name));
+    led.m_planner.Advance(now);
+    const auto ranges = led.m_keeper.Ranges();
+    if (ranges.size() > kMaxRanges) {
+      continue;
+    }
+    std::vector<PlannerEndpoint> endpoints;
+    for (const auto& endpoint : KeeperEndpoints(now, name)) {
+      if (endpoint.m_usable && !endpoint.m_silent && !endpoint.m_dead) {
+        endpoints.push_back({ endpoint.m_life.m_name, endpoint.m_capacity });
+      }
+    }
+    const auto moves = led.m_planner.Plan(ranges, endpoints);
+    for (const auto& move : moves) {
+      m_log.Write(
+        LogLine("range-moves")
+          .Add("first", move.m_range.m_first)
+          .Add("last", move.m_range.m_last)
+          .Add("rate", static_cast<int>(led.m_planner.Rate(move.m_range)))
+          .Add("to", move.m_to));
+      led.m_keeper.Move(now, move.m_range, move.m_to);
+    }
+  }
+  TickSoon();
+}
+
+void
+Ownership::StoreChanges()
+{
+  if (m_appendBusy) {
+    return;
+  }
+  for (auto& [name, led] : m_led) {
+    if (!led.m_keeper.HasToStore()) {
+      continue;
+    }
+    for (const auto& block : led.m_keeper.BeginStore()) {
+      m_appending.push_back(
+        { 0,
+          kRangePrefix + name + "/" + std::to_string(block.m_block),
+          Pack(block.m_assignments) });
+    }
+  }
+  if (m_appending.empty()) {
+    return;
+  }
+  m_appendBusy = true;
+  ++m_sequence;
+  const auto earlier = std::chrono::duration_cast<Millis>(
+    m_leadership.ForeignGrantsEnd() - BootClock::now());
+  m_appending.push_back(
+    { 0,
+      kLeaderKey,
+      Pack(LeaderRecord{ m_claimTerm,
+                         m_gossip.Self(),
+                         m_sequence,
+                         std::max<std::int64_t>(earlier.count(), 0) }) });
+  Append();
+}
+
+void
+Ownership::Append()
+{
+  if (!m_leadership.Leads() || m_writer.IsBusy()) {
+    return;
+  }
+  m_writer.Call(m_protocol.m_store.m_append(kTopic, m_end, m_appending),
+                kStoreTimeout,
+                [this](const CallResult& aResult) {
+                  OnAppend(m_protocol.m_store.m_parseAppend(aResult));
+                });
+}
+
+void
+Ownership::OnAppend(const AppendOutcome& aOutcome)
+{
+  if (!m_leadership.Leads()) {
+    return;
+  }
+  switch (aOutcome.m_answer) {
+    case StoreAnswer::Ok:
+      OnAppended(aOutcome.m_end);
+      return;
+    case StoreAnswer::Conflict:
+    case StoreAnswer::NoAnswer:
+      Settle();
+      return;
+    default:
+      m_storeTimer.Start(kStoreRetry);
+  }
+}
+
+/** Reads what became of an append: this one, an earlier try of it, or the
+    claim of another daemon may have come first. */
+void
+Ownership::Settle()
+{
+  m_writer.Call(m_protocol.m_store.m_newest(kTopic, ""),
+                kStoreTimeout,
+                [this](const CallResult& aResult) {
+                  OnSettled(m_protocol.m_store.m_parseNewest(aResult));
+                });
+}
+
+void
+Ownership::OnSettled(const KeyedPage& aPage)
+{
+  if (!m_leadership.Leads()) {
+    return;
+  }
+  if (aPage.m_answer != StoreAnswer::Ok) {
+    m_storeTimer.Start(kStoreRetry);
+    return;
+  }
+  for (const auto& record : aPage.m_records) {
+    if (record.m_key != kLeaderKey || !record.m_value) {
+      continue;
+    }
+    const auto leader = Unpack<LeaderRecord>(*record.m_value);
+    if (!leader.ok()) {
+      break;
+    }
+    if (leader->m_leader != m_gossip.Self() || leader->m_term != m_claimTerm) {
+      m_leadership.OnRecord(BootClock::now(), *leader);
+      StepDown("another daemon has claimed");
+      return;
+    }
+    if (leader->m_sequence == m_sequence) {
+      OnAppended(aPage.m_end);
+      return;
+    }
+  }
+  m_end = aPage.m_end;
+  m_storeTimer.Start(kStoreRetry);
+}
+
+void
+Ownership::OnAppended(Offset aEnd)
+{
+  const TimePoint now = BootClock::now();
+  m_end = aEnd;
+  m_appending.clear();
+  m_appendBusy = false;
+  for (auto& [name, led] : m_led) {
+    led.m_keeper.OnStored(now);
+  }
+  TickSoon();
+}
+
+} // namespace sapphirehook
--- /dev/null
+++ b/src/sapphirehook/gateway/request_log.cpp
@@ -0,0 +1,88 @@
+#include "sapphirehook/gateway/request_engine.hpp"
+
+#include "sapphirehook/gateway/internal/answers.hpp"
+
+// The lines that tell how a request ended, and what decided it.
+
+namespace sapphirehook {
+
+namespace {
+
+std::string_view
+KindName(RequestKind aKind)
+{
+  switch (aKind) {
+    case RequestKind::Idempotent:
+      return "idempotent";
+    case RequestKind::NeverRepeat:
+      return "never-repeat";
+    case RequestKind::Upload:
+      return "upload";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void
+RequestEngine::LogRequest(const Transaction& aTransaction,
+                          std::string_view aOutcome,
+                          int aStatus,
+                          LogRank aRank)
+{
+  LogLine line("request-ended");
+  line.Add("id", aTransaction.m_attemptId)
+    .Add("outcome", aOutcome)
+    .Add("status", aStatus)
+    .Add("route", aTransaction.m_route->m_name)
+    .Add("kind", KindName(aTransaction.m_route->m_kind))
+    .Add("config", aTransaction.m_routes->Config().m_version)
+    .Add("service", aTransaction.m_service)
+    .Add("took_ms", BootClock::now() - aTransaction.m_arrivedAt)
+    .Add("sends", aTransaction.m_sends)
+    .Add("endpoint", aTransaction.m_sentTo);
+  if (aTransaction.m_key) {
+    line.Add("key", *aTransaction.m_key);
+  }
+  if (aStatus == internal::kUnavailable) {
+    AddRoom(line, aTransaction);
+  }
+  m_log.Write(line, aRank);
+}
+
+/** Adds what decided that a request found no room: how many wait, and the load
+    of the key's holder or of the service's endpoints. */
+void
+RequestEngine::AddRoom(LogLine& aLine, const Transaction& aTransaction)
+{
+  const TimePoint now = BootClock::now();
+  auto& service = ServiceOf(aTransaction.m_service);
+  aLine.Add("waiting", service.m_waiting.size());
+  if (aTransaction.m_key) {
+    const auto* route = service.m_ranges.Find(*aTransaction.m_key);
+    const auto holder = route != nullptr ? m_endpoints.find(route->m_endpoint)
+                                         : m_endpoints.end();
+    aLine.Add("granted", route != nullptr && route->m_ready ? 1 : 0);
+    if (holder != m_endpoints.end()) {
+      const auto& load = holder->second->m_load;
+      aLine.Add("holder", route->m_endpoint)
+        .Add("holder_usable", holder->second->m_usable ? 1 : 0)
+        .Add("holder_running", load.Running(now))
+        .Add("holder_limit", load.Limit(now))
+        .Add("holder_ejected", load.IsEjected(now) ? 1 : 0);
+    }
+    return;
+  }
+  std::size_t usable = 0;
+  std::size_t withRoom = 0;
+  for (const auto& [name, endpoint] : m_endpoints) {
+    if (endpoint->m_record.m_service == aTransaction.m_service &&
+        endpoint->m_usable) {
+      ++usable;
+      withRoom += endpoint->m_load.HasRoom(now) ? 1 : 0;
+    }
+  }
+  aLine.Add("endpoints", usable).Add("endpoints_with_room", withRoom);
+}
+
+} // namespace sapphirehook
