--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -1,7 +1,5 @@
 #include "sapphirehook/gateway/caller_connection.hpp"
 
-#include <array>
-#include <charconv>
 #include <http_parser.h>
 #include <utility>
 
@@ -256,14 +254,8 @@
     return;
   }
   if (m_chunkedAnswer) {
-    constexpr int kHexadecimal = 16;
-    std::array<char, 20> size{};
-    const auto end = std::to_chars(
-      size.data(), size.data() + size.size(), aPiece.size(), kHexadecimal);
-    std::string framed(size.data(), end.ptr);
-    framed += "\r\n";
-    framed.append(aPiece);
-    framed += "\r\n";
+    std::string framed;
+    AppendChunk(framed, aPiece);
     m_stream.Write(framed);
   } else {
     m_stream.Write(aPiece);
@@ -277,7 +269,7 @@
 CallerConnection::EndAnswer()
 {
   if (m_chunkedAnswer) {
-    m_stream.Write("0\r\n\r\n");
+    m_stream.Write(kLastChunk);
   }
   FinishAnswer();
 }
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -424,7 +424,6 @@
   transaction.m_done = true;
   transaction.m_sink = nullptr;
   transaction.m_body = {};
-  --m_unanswered;
   if (transaction.m_timer) {
     transaction.m_timer->Stop();
     m_loop.Retire(std::shared_ptr<Timer>(std::move(transaction.m_timer)));
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -304,7 +304,6 @@
     transaction.m_key = static_cast<Key>(*key);
     service.m_keyCounter.Count(*transaction.m_key);
   }
-  ++m_unanswered;
   transaction.m_timer = std::make_unique<Timer>(
     m_loop, [this, weak = std::weak_ptr<Transaction>(aTransaction)] {
       if (const auto locked = weak.lock()) {
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -221,7 +221,6 @@
   std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_callers;
   EngineCounts m_counts;
   std::size_t m_daemons = 1;
-  std::size_t m_unanswered = 0;
   bool m_stopping = false;
   bool m_pumping = false;
 };
--- a/src/sapphirehook/gateway/upstream_connection.cpp
+++ b/src/sapphirehook/gateway/upstream_connection.cpp
@@ -1,7 +1,5 @@
 #include "sapphirehook/gateway/upstream_connection.hpp"
 
-#include <array>
-#include <charconv>
 #include <utility>
 
 namespace sapphirehook {
@@ -81,20 +79,13 @@
                              bool aIsLast)
 {
   std::string framed;
-  if (aIsChunked && !aPiece.empty()) {
-    constexpr int kHexadecimal = 16;
-    std::array<char, 20> size{};
-    const auto end = std::to_chars(
-      size.data(), size.data() + size.size(), aPiece.size(), kHexadecimal);
-    framed.append(size.data(), end.ptr);
-    framed += "\r\n";
-    framed.append(aPiece);
-    framed += "\r\n";
-  } else if (!aIsChunked) {
+  if (aIsChunked) {
+    AppendChunk(framed, aPiece);
+  } else {
     framed.append(aPiece);
   }
   if (aIsChunked && aIsLast) {
-    framed += "0\r\n\r\n";
+    framed.append(kLastChunk);
   }
   m_bodyFollows = !aIsLast;
   if (m_requestSent) {
--- a/src/sapphirehook/http1/head.cpp
+++ b/src/sapphirehook/http1/head.cpp
@@ -55,6 +55,22 @@
   aText.append("\r\n");
 }
 
+void
+AppendChunk(std::string& aText, std::string_view aPiece)
+{
+  if (aPiece.empty()) {
+    return;
+  }
+  constexpr int kHexadecimal = 16;
+  std::array<char, 20> size{};
+  const auto end = std::to_chars(
+    size.data(), size.data() + size.size(), aPiece.size(), kHexadecimal);
+  aText.append(size.data(), end.ptr);
+  aText.append("\r\n");
+  aText.append(aPiece);
+  aText.append("\r\n");
+}
+
 std::optional<std::uint64_t>
 ParseWholeNumber(std::string_view aText) noexcept
 {
--- a/src/sapphirehook/http1/head.hpp
+++ b/src/sapphirehook/http1/head.hpp
@@ -36,6 +36,14 @@
              std::string_view aName,
              std::string_view aValue);
 
+/** Appends a piece of a body as one chunk of chunked encoding. An empty piece
+    appends nothing, since an empty chunk ends the body. */
+void
+AppendChunk(std::string& aText, std::string_view aPiece);
+
+/** Ends a body in chunked encoding. */
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
 /** Returns the whole number that a text holds; empty when it holds anything
     else. */
 [[nodiscard]] std::optional<std::uint64_t>
--- a/src/sapphirehook/net/event_loop.cpp
+++ b/src/sapphirehook/net/event_loop.cpp
@@ -142,12 +142,6 @@
   ev_timer_stop(m_loop.Handle(), &m_timer);
 }
 
-bool
-Timer::IsRunning() const noexcept
-{
-  return ev_is_active(&m_timer);
-}
-
 SocketWatcher::SocketWatcher(EventLoop& aLoop,
                              std::function<void(int)> aFunction)
   : m_loop(aLoop)
--- a/src/sapphirehook/net/event_loop.hpp
+++ b/src/sapphirehook/net/event_loop.hpp
@@ -68,8 +68,6 @@
 
   void Stop();
 
-  [[nodiscard]] bool IsRunning() const noexcept;
-
 private:
   EventLoop& m_loop;
   std::function<void()> m_function;
--- a/src/sapphirehook/placement/endpoint_load.cpp
+++ b/src/sapphirehook/placement/endpoint_load.cpp
@@ -56,7 +56,6 @@
     return;
   }
   const bool reached = aEnd != AttemptEnd::NotSent && aEnd != AttemptEnd::Lost;
-  m_unreachable = reached ? 0 : m_unreachable + 1;
   const bool failed = aEnd == AttemptEnd::Failed || !reached;
   m_failures += kFailureWeight * ((failed ? 1.0 : 0.0) - m_failures);
   if (aEnd == AttemptEnd::NotRun) {
--- a/src/sapphirehook/placement/endpoint_load.hpp
+++ b/src/sapphirehook/placement/endpoint_load.hpp
@@ -90,15 +90,6 @@
     return aNow < m_ejectedUntil;
   }
 
-  /** Share of recent requests that failed. */
-  [[nodiscard]] double FailureShare() const noexcept { return m_failures; }
-
-  /** Whether several requests in a row could not be brought to it. */
-  [[nodiscard]] bool IsUnreachable() const noexcept
-  {
-    return m_unreachable >= kUnreachableAfter;
-  }
-
   [[nodiscard]] std::size_t Slots() const noexcept { return m_slots; }
 
 private:
@@ -108,8 +99,7 @@
     TimePoint m_toldAt{};
   };
 
-  static constexpr unsigned kUnreachableAfter = 2; // requests in a row
-  static constexpr unsigned kEnoughSamples = 5;    // answers
+  static constexpr unsigned kEnoughSamples = 5; // answers
 
   std::size_t m_slots;
   std::size_t m_running = 0;
@@ -121,7 +111,6 @@
   std::chrono::nanoseconds m_peerService{};
   double m_failures = 0.0;
   unsigned m_failuresInRow = 0;
-  unsigned m_unreachable = 0;
   TimePoint m_ejectedUntil{};
   TimePoint m_fullUntil{};
 };
