Leader of a large fleet: looks at what changed, joins ranges, is the largest host

A round over 1,074 ranges and 314 endpoints after every answer cost about 1 ms, and 900 renewals a second more than a small host has; its beats came late, the next daemon claimed, and had the same work to do. A daemon that read a new claim in the store claimed again at once, as it had not heard the claimant yet. And no range was ever moved by load: more than 900 ranges existed from the start. Ruled out: the store (up in those seconds), lost datagrams (few). Change: rounds look at changed ranges, at all only every 100 ms; neighbouring ranges of one endpoint are joined (with a mutant); fewer ranges at the start; leaders and heirs are chosen by processor; a claim just read counts as heard; a daemon that did not run waits before it claims; an earlier leader's grants are presumed until they are renewed; orders to an earlier life end as unanswered.

--- a/src/sapphirehook/gateway/endpoint_orders.cpp
+++ b/src/sapphirehook/gateway/endpoint_orders.cpp
@@ -86,6 +86,17 @@
   }
 }
 
+void
+EndpointOrders::GiveUp()
+{
+  DropQueue();
+  for (const auto* clients : { &m_grantClients, &m_releaseClients }) {
+    for (const auto& client : *clients) {
+      client->GiveUp();
+    }
+  }
+}
+
 void
 EndpointOrders::SendNext()
 {
--- a/src/sapphirehook/gateway/endpoint_orders.hpp
+++ b/src/sapphirehook/gateway/endpoint_orders.hpp
@@ -36,6 +36,9 @@
   void Grant(const EndpointGrant& aGrant);
   void Release(const EndpointRelease& aRelease);
 
+  /** Ends all orders as unanswered, since the endpoint has another life. */
+  void GiveUp();
+
   /** Whether no order has been answered for too long though some wait. */
   [[nodiscard]] bool IsSilent(TimePoint aNow) const noexcept;
 
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -46,6 +46,7 @@
 {
   OwnershipSettings settings;
   settings.m_store = ToSocketAddress(aSettings.m_store);
+  settings.m_processorShare = aSettings.m_processorShare;
   settings.m_keeper.m_hold =
     std::min(settings.m_keeper.m_hold, aSettings.m_maxHold);
   settings.m_leadership.m_hold = settings.m_keeper.m_hold;
@@ -130,6 +131,7 @@
   , m_stopTimer(m_loop, [this] { OnStopTick(); })
   , m_directoryTimer(m_loop, [this] { OnEndpointsChanged(); })
 {
+  m_ownership.m_onLeads = [this] { SendBeat(); };
   m_engine.m_onMisdirected = [this](const std::string& aService) {
     m_ownership.AskForMap(aService);
   };
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -69,6 +69,7 @@
   Timer m_directoryTimer;
   std::uint64_t m_configVersion = 0;
   std::size_t m_daemons = 1;
+  unsigned m_beats = 0;
   bool m_storeWorks = false;
   TimePoint m_storeProvenAt{};
   TimePoint m_probedAt{};
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/** In a large fleet the followers beat only at every so many of the leader's
+    beats, which keeps their number at the leader down. */
+constexpr unsigned kFollowerBeats = 2;
 /** The same for the leader, which finds a silent connection sooner. */
 constexpr ReaderTimes kLeaderReads{ Millis(2000), Millis(60) };
 /** While the leader does not reach the store, the others make a call this
@@ -112,6 +115,12 @@
 Gateway::SendBeat()
 {
   const TimePoint now = BootClock::now();
+  const bool skips = IsLargeFleet() && !m_ownership.Leads() && !m_stopping &&
+                     ++m_beats % kFollowerBeats != 0;
+  if (skips) {
+    m_log.Flush();
+    return;
+  }
   Beat beat;
   beat.m_stopping = m_stopping;
   beat.m_uses = m_engine.Uses();
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -22,8 +22,8 @@
 constexpr Millis kAskEvery{ 60 };
 /** Time between two tries to claim. */
 constexpr Millis kClaimEvery{ 300 };
-/** Daemons that a leader names to claim after it. */
-constexpr std::size_t kHeirs = 4;
+/** A round that comes this late tells that the daemon did not run. */
+constexpr Millis kPaused{ 400 };
 
 } // namespace
 
@@ -41,7 +41,10 @@
   , m_gossip(aGossip)
   , m_engine(aEngine)
   , m_directory(aDirectory)
-  , m_leadership(aSettings.m_leadership, aGossip.Self(), BootClock::now())
+  , m_leadership(aSettings.m_leadership,
+                 aGossip.Self(),
+                 aSettings.m_processorShare,
+                 BootClock::now())
   , m_writer(aLoop, aSettings.m_store)
   , m_timer(aLoop, [this] { Tick(); })
   , m_planTimer(aLoop, [this] { Plan(); })
@@ -81,6 +84,7 @@
 void
 Ownership::OnChange()
 {
+  m_tickAllAt = {};
   TickSoon();
 }
 
@@ -98,6 +102,9 @@
 {
   m_tickQueued = false;
   const TimePoint now = BootClock::now();
+  if (now >= std::exchange(m_tickedAt, now) + kPaused) {
+    m_leadership.OnPause(now);
+  }
   if (m_leadership.Leads()) {
     if (m_leadership.ShouldResign(now)) {
       Resign();
@@ -213,6 +220,7 @@
   m_appendBusy = false;
   m_led.clear();
   m_orders.clear();
+  m_tickAllAt = {};
   SyncServices(BootClock::now());
   m_reader = std::make_unique<TopicReader>(
     m_loop,
@@ -228,6 +236,9 @@
   m_timer.StartEvery(kLeaderTick);
   m_planTimer.StartEvery(kPlanEvery);
   TickSoon();
+  if (m_onLeads) {
+    m_onLeads();
+  }
 }
 
 void
@@ -299,6 +310,7 @@
 {
   aBeat.m_term = m_leadership.HighestTerm();
   aBeat.m_leads = m_leadership.Leads();
+  aBeat.m_processorShare = m_settings.m_processorShare;
   aBeat.m_resignedTerm = m_leadership.ResignedTerm();
   aBeat.m_resignedEndsInMs = std::chrono::duration_cast<Millis>(
                                m_leadership.ResignedEnds() - BootClock::now())
@@ -309,12 +321,7 @@
   if (aBeat.m_leads) {
     const TimePoint now = BootClock::now();
     aBeat.m_daemons = static_cast<std::uint32_t>(m_gossip.AliveDaemons(now));
-    for (const auto& [host, peer] : m_gossip.Peers()) {
-      if (Gossip::IsAlive(now, peer) && peer.m_storeWorks && !peer.m_stopping &&
-          aBeat.m_heirs.size() < kHeirs) {
-        aBeat.m_heirs.push_back(host);
-      }
-    }
+    aBeat.m_heirs = m_leadership.ChooseHeirs(now);
   }
 }
 
@@ -358,7 +365,8 @@
                         { beat->m_storeWorks,
                           now - Millis(beat->m_storeProofAgeMs),
                           beat->m_stopping,
-                          now });
+                          now,
+                          beat->m_processorShare });
     m_leadership.OnResignationTold(
       beat->m_resignedTerm,
       now + Millis(std::max<std::int64_t>(beat->m_resignedEndsInMs, 0)));
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -21,6 +21,7 @@
 struct OwnershipSettings
 {
   sockaddr_in m_store{};
+  double m_processorShare = 0.0;
   LeadershipTimes m_leadership;
   KeeperTimes m_keeper;
 };
@@ -66,6 +67,9 @@
   /** From now on this daemon never claims. */
   void StopClaiming() noexcept { m_stopping = true; }
 
+  /** Called when this daemon begins to lead. */
+  std::function<void()> m_onLeads;
+
   [[nodiscard]] bool Leads() const noexcept { return m_leadership.Leads(); }
 
   /** The leader last heard of; empty when it has been silent. */
@@ -104,7 +108,10 @@
   void Tick();
   void TickSoon();
   void TickLed();
-  void TickService(TimePoint aNow, const std::string& aName, Led& aLed);
+  void CarryOut(TimePoint aNow,
+                const std::string& aName,
+                Led& aLed,
+                const KeeperActions& aActions);
   void Plan();
   void TryClaim();
   void OnNewest(const KeyedPage& aPage);
@@ -149,6 +156,9 @@
   Timer m_planTimer;
   Timer m_storeTimer;
   bool m_tickQueued = false;
+  /** When all ranges are looked at next. */
+  TimePoint m_tickAllAt{};
+  TimePoint m_tickedAt{};
   bool m_stopping = false;
 
   // A claim under way.
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -15,16 +15,24 @@
 
 /** Wait before a store call that was turned away is made again. */
 constexpr Millis kStoreRetry{ 120 };
-/** Ranges for each endpoint at the start, so that the keys of one can be
-    dealt out to several. */
+/** Ranges for each endpoint at the start, so that its keys lie apart; fewer
+    where there are many endpoints, since each range is a renewal. */
 constexpr std::size_t kRangesPerEndpoint = 6;
+constexpr std::size_t kFirstRanges = 500;
 /** The first endpoints of a service are waited for this long before its keys
     are dealt out for the first time. */
 constexpr Millis kGatherEndpoints{ 400 };
+/** Time between two looks at all ranges and endpoints; in between only what
+    has changed is looked at. */
+constexpr Millis kTickAllEvery{ 100 };
 /** Terms are this far apart in fences: more than a term's changes. */
 constexpr unsigned kFenceTermBits = 22;
-/** Ranges beyond which no more are cut. */
-constexpr std::size_t kMaxRanges = 900;
+/** Ranges beyond which no more are moved. */
+constexpr std::size_t kMaxRanges = 1500;
+/** The grants of an earlier leader are taken to last this long from the start
+    of a term: a hold, less the time of a renewal, of the silence by which the
+    loss of a leader is noticed, and of the claim. */
+constexpr Millis kPresumedHold{ 1500 };
 
 } // namespace
 
@@ -72,15 +80,17 @@
         continue;
       }
       for (const auto& assignment : *assignments) {
-        led.m_keeper.Load(assignment);
+        led.m_keeper.Load(assignment, aNow + kPresumedHold);
       }
     }
     std::size_t endpoints = 0;
     for (const auto& [endpoint, known] : m_directory.All()) {
       endpoints += known.m_record.m_service == name ? 1 : 0;
     }
-    led.m_keeper.CoverAll(static_cast<unsigned>(
-      std::max<std::size_t>(endpoints, 1) * kRangesPerEndpoint));
+    endpoints = std::max<std::size_t>(endpoints, 1);
+    const std::size_t most = std::max(kFirstRanges, endpoints);
+    led.m_keeper.CoverAll(
+      static_cast<unsigned>(std::min(endpoints * kRangesPerEndpoint, most)));
   }
 }
 
@@ -112,6 +122,7 @@
   const auto* known = m_directory.Find(aEndpoint);
   auto& orders = m_orders[aEndpoint];
   if (known != nullptr && orders && orders->Life() != known->m_record.m_life) {
+    orders->GiveUp();
     m_loop.Retire(std::shared_ptr<EndpointOrders>(std::move(orders)));
   }
   if (known != nullptr && !orders) {
@@ -152,27 +163,37 @@
   if (!m_leadership.HasAuthority(now)) {
     return;
   }
-  SyncServices(now);
+  const bool all = now >= m_tickAllAt;
+  if (all) {
+    m_tickAllAt = now + kTickAllEvery;
+    SyncServices(now);
+  }
   for (auto& [name, led] : m_led) {
-    TickService(now, name, led);
+    led.m_keeper.SetProvenAt(m_leadership.ProvenAt());
+    if (all) {
+      led.m_keeper.SetEndpoints(KeeperEndpoints(now, name));
+      CarryOut(now, name, led, led.m_keeper.Tick(now));
+    } else {
+      CarryOut(now, name, led, led.m_keeper.TickChanged(now));
+    }
   }
   StoreChanges();
 }
 
 void
-Ownership::TickService(TimePoint aNow, const std::string& aName, Led& aLed)
+Ownership::CarryOut(TimePoint aNow,
+                    const std::string& aName,
+                    Led& aLed,
+                    const KeeperActions& aActions)
 {
-  aLed.m_keeper.SetEndpoints(KeeperEndpoints(aNow, aName));
-  aLed.m_keeper.SetProvenAt(m_leadership.ProvenAt());
-  const auto actions = aLed.m_keeper.Tick(aNow);
-  for (const auto& grant : actions.m_grants) {
+  for (const auto& grant : aActions.m_grants) {
     if (auto* orders = OrdersOf(grant.m_endpoint)) {
       orders->Grant(grant);
     } else {
       aLed.m_keeper.OnGrantEnd(aNow, grant.m_id, { OrderEnd::NotSent, "" });
     }
   }
-  for (const auto& release : actions.m_releases) {
+  for (const auto& release : aActions.m_releases) {
     m_log.Write(LogLine("release-sent")
                   .Add("endpoint", release.m_endpoint)
                   .Add("first", release.m_order.m_range.m_first)
@@ -184,7 +205,7 @@
       aLed.m_keeper.OnReleaseEnd(aNow, release.m_id, { OrderEnd::NotSent, "" });
     }
   }
-  PublishRoutes(aName, aLed, actions.m_routes);
+  PublishRoutes(aName, aLed, aActions.m_routes);
 }
 
 void
--- a/src/sapphirehook/gateway/settings.hpp
+++ b/src/sapphirehook/gateway/settings.hpp
@@ -24,6 +24,9 @@
   /** Where metrics are served. */
   Address m_metrics;
   Address m_store;
+  /** Part of a core that the host gives this process; the daemon with most
+      is the first to lead. */
+  double m_processorShare = 0.0;
   BudgetConfig m_retryBudget;
   /** Longest hold that endpoints accept. */
   Millis m_maxHold{};
--- a/src/sapphirehook/gossip/gossip.cpp
+++ b/src/sapphirehook/gossip/gossip.cpp
@@ -120,10 +120,6 @@
   peer.m_address = aFrom;
   peer.m_incarnation = envelope->m_from.m_incarnation;
   peer.m_heardAt = now;
-  if (const auto* beat = std::get_if<Beat>(&*message)) {
-    peer.m_stopping = beat->m_stopping;
-    peer.m_storeWorks = beat->m_storeWorks;
-  }
   m_onMessage(envelope->m_from, *message);
 }
 
--- a/src/sapphirehook/gossip/gossip.hpp
+++ b/src/sapphirehook/gossip/gossip.hpp
@@ -18,8 +18,6 @@
   std::uint64_t m_incarnation = 0;
   TimePoint m_heardAt{};
   TimePoint m_sentAt{};
-  bool m_stopping = false;
-  bool m_storeWorks = false;
 };
 
 /** Sends and receives messages between daemons. A daemon is known from the
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -37,6 +37,8 @@
   Term m_resignedTerm = 0;
   std::int64_t m_resignedEndsInMs = 0;
   bool m_stopping = false;
+  /** Part of a core that the sender may use. */
+  double m_processorShare = 0.0;
   /** Offsets that the sender has read of the topics all daemons follow. */
   std::map<std::string, Offset> m_ends;
   std::vector<EndpointUse> m_uses;
@@ -55,6 +57,7 @@
                        m_resignedTerm,
                        m_resignedEndsInMs,
                        m_stopping,
+                       m_processorShare,
                        m_ends,
                        m_uses,
                        m_maps,
--- a/src/sapphirehook/http1/client.cpp
+++ b/src/sapphirehook/http1/client.cpp
@@ -37,10 +37,7 @@
 HttpClient::HttpClient(EventLoop& aLoop, sockaddr_in aPeer)
   : m_loop(aLoop)
   , m_peer(aPeer)
-  , m_timer(aLoop, [this] {
-    ResetConnection();
-    Finish(m_sent ? CallEnd::NoAnswer : CallEnd::NotSent);
-  })
+  , m_timer(aLoop, [this] { GiveUp(); })
 {
 }
 
@@ -170,6 +167,13 @@
   handler(result);
 }
 
+void
+HttpClient::GiveUp()
+{
+  ResetConnection();
+  Finish(m_sent ? CallEnd::NoAnswer : CallEnd::NotSent);
+}
+
 void
 HttpClient::Abort()
 {
--- a/src/sapphirehook/http1/client.hpp
+++ b/src/sapphirehook/http1/client.hpp
@@ -65,6 +65,10 @@
       the connection. */
   void Abort();
 
+  /** Ends the call under way as one without an answer, and resets the
+      connection, so that what has not arrived yet never does. */
+  void GiveUp();
+
   [[nodiscard]] bool IsBusy() const noexcept { return m_busy; }
 
   /** Number of connections opened so far; a change tells that the peer may
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -19,14 +19,26 @@
 constexpr Millis kFreshProof{ 1500 };
 /** Others must reach the store for this long before a leader makes room. */
 constexpr Millis kOthersReachFor{ 1500 };
+/** Daemons that a leader names to claim after it. */
+constexpr std::size_t kHeirs = 4;
+/** A leader makes room for a daemon with this many times its processor, once
+    it has led for a while, so that restarts in turn move it but once. */
+constexpr double kMuchLarger = 2.0;
+constexpr Millis kLeadsAtLeast{ 4000 };
+/** A daemon that did not run hears the leader within this time again. */
+constexpr Millis kHearAgain{ 300 };
 /** One that has stepped down does not claim again for this long. */
 constexpr Millis kRestAfterResigning{ 5000 };
 
 } // namespace
 
-Leadership::Leadership(LeadershipTimes aTimes, HostId aSelf, TimePoint aNow)
+Leadership::Leadership(LeadershipTimes aTimes,
+                       HostId aSelf,
+                       double aProcessorShare,
+                       TimePoint aNow)
   : m_times(aTimes)
   , m_self(std::move(aSelf))
+  , m_processorShare(aProcessorShare)
   , m_leaderHeardAt(aNow)
   , m_idleSince(aNow)
 {
@@ -42,6 +54,11 @@
     // Counted from the reading, which is later than the append.
     m_earlierEnds = aNow + Millis(aRecord.m_earlierGrantsMs);
   }
+  if (aRecord.m_term > m_term) {
+    // One that has just claimed is given the time to speak.
+    m_leader = aRecord.m_leader;
+    m_leaderHeardAt = aNow;
+  }
   m_record = aRecord;
   m_term = std::max(m_term, aRecord.m_term);
   if (m_leads && aRecord.m_leader != m_self) {
@@ -88,8 +105,39 @@
   }
 }
 
+void
+Leadership::OnPause(TimePoint aNow) noexcept
+{
+  m_leaderHeardAt =
+    std::max(m_leaderHeardAt, aNow - m_times.m_silence + kHearAgain);
+}
+
+bool
+Leadership::CouldLead(TimePoint aNow, const Candidate& aCandidate) const
+{
+  return aCandidate.m_storeWorks && !aCandidate.m_stopping &&
+         aNow < aCandidate.m_heardAt + kCandidateFor;
+}
+
+std::vector<std::string>
+Leadership::ChooseHeirs(TimePoint aNow) const
+{
+  std::vector<std::pair<double, std::string>> able;
+  for (const auto& [host, candidate] : m_candidates) {
+    if (CouldLead(aNow, candidate)) {
+      able.emplace_back(-candidate.m_processorShare, host);
+    }
+  }
+  std::sort(able.begin(), able.end());
+  std::vector<std::string> heirs;
+  for (std::size_t i = 0; i < std::min(able.size(), kHeirs); ++i) {
+    heirs.push_back(able[i].second);
+  }
+  return heirs;
+}
+
 /** Place of this daemon among those that may claim: as the last leader named
-    them, or else by name among those heard of. */
+    them, or else by processor and name among those heard of. */
 int
 Leadership::Rank(TimePoint aNow) const
 {
@@ -102,10 +150,10 @@
                                             kUnnamedSpread);
   }
   int rank = 0;
+  const std::pair own(-m_processorShare, m_self.m_host);
   for (const auto& [host, candidate] : m_candidates) {
-    const bool able = candidate.m_storeWorks && !candidate.m_stopping &&
-                      aNow < candidate.m_heardAt + kCandidateFor;
-    rank += able && host < m_self.m_host ? 1 : 0;
+    const bool better = std::pair(-candidate.m_processorShare, host) < own;
+    rank += better && CouldLead(aNow, candidate) ? 1 : 0;
   }
   return rank;
 }
@@ -152,8 +200,7 @@
       m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
         const auto& candidate = aOne.second;
         // One whose last answer is older than the trouble may be cut off too.
-        return candidate.m_storeWorks && !candidate.m_stopping &&
-               aNow < candidate.m_heardAt + kCandidateFor &&
+        return CouldLead(aNow, candidate) &&
                aNow < candidate.m_storeProvenAt + kFreshProof;
       });
   if (!othersReach) {
@@ -162,7 +209,23 @@
     m_othersReachSince = aNow;
   }
   // At the end of an outage the others may be served a moment earlier.
-  return othersReach && aNow >= m_othersReachSince + kOthersReachFor;
+  return (othersReach && aNow >= m_othersReachSince + kOthersReachFor) ||
+         IsTooSmall(aNow);
+}
+
+bool
+Leadership::IsTooSmall(TimePoint aNow) const
+{
+  return m_leads && m_storeWorks && aNow >= m_ledSince + kLeadsAtLeast &&
+         std::any_of(
+           m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
+             const auto& [host, candidate] = aOne;
+             const auto run = m_runs.find(host);
+             return candidate.m_processorShare >=
+                      m_processorShare * kMuchLarger &&
+                    CouldLead(aNow, candidate) && run != m_runs.end() &&
+                    aNow >= run->second.m_seenAt + kLeadsAtLeast;
+           });
 }
 
 /** When the grants of the recorded leader have run out. Without a sign that it
@@ -193,6 +256,7 @@
 {
   m_foreignEnds = std::max(PredecessorEnds(aNow), m_earlierEnds);
   m_leads = true;
+  m_ledSince = aNow;
   m_term = std::max(m_term, aTerm);
   m_record = { aTerm, m_self, 0, 0 };
   m_provenAt = aNow;
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -53,6 +53,8 @@
   TimePoint m_storeProvenAt{};
   bool m_stopping = false;
   TimePoint m_heardAt{};
+  /** Part of a core that it may use. */
+  double m_processorShare = 0.0;
 };
 
 /** Decides when this daemon should claim to lead, whether it may act as the
@@ -63,7 +65,10 @@
 class Leadership
 {
 public:
-  Leadership(LeadershipTimes aTimes, HostId aSelf, TimePoint aNow);
+  Leadership(LeadershipTimes aTimes,
+             HostId aSelf,
+             double aProcessorShare,
+             TimePoint aNow);
 
   /** The store holds this record. */
   void OnRecord(TimePoint aNow, const LeaderRecord& aRecord);
@@ -75,6 +80,9 @@
               bool aLeads,
               const Candidate& aCandidate);
 
+  /** This daemon did not run until now, and heard nobody meanwhile. */
+  void OnPause(TimePoint aNow) noexcept;
+
   /** The leader has named the daemons that should claim after it, in order. */
   void SetHeirs(std::vector<std::string> aHeirs)
   {
@@ -93,7 +101,11 @@
   /** Whether this daemon should claim now. */
   [[nodiscard]] bool ShouldClaim(TimePoint aNow) const;
 
-  /** Whether a leader without the store should make room for another. */
+  /** Daemons that should claim when this leader is lost, the best first. */
+  [[nodiscard]] std::vector<std::string> ChooseHeirs(TimePoint aNow) const;
+
+  /** Whether this leader should make room for another: it lacks the store, or
+      leads on a host much smaller than another. */
   [[nodiscard]] bool ShouldResign(TimePoint aNow);
 
   /** The store holds this daemon's claim. */
@@ -141,6 +153,9 @@
 private:
   [[nodiscard]] TimePoint PredecessorEnds(TimePoint aNow) const;
   [[nodiscard]] int Rank(TimePoint aNow) const;
+  [[nodiscard]] bool CouldLead(TimePoint aNow,
+                               const Candidate& aCandidate) const;
+  [[nodiscard]] bool IsTooSmall(TimePoint aNow) const;
   [[nodiscard]] std::chrono::nanoseconds HoldEnd() const noexcept
   {
     return m_times.m_orderLasts + WithDrift(m_times.m_hold, m_times.m_driftPpm);
@@ -148,6 +163,7 @@
 
   LeadershipTimes m_times;
   HostId m_self;
+  double m_processorShare;
   Term m_term = 0;
   LeaderRecord m_record;
   HostId m_leader;
@@ -155,6 +171,7 @@
   std::map<std::string, Candidate> m_candidates;
   std::vector<std::string> m_heirs;
   bool m_leads = false;
+  TimePoint m_ledSince{};
   TimePoint m_provenAt{};
   TimePoint m_foreignEnds{};
   /** When this daemon started, or last stopped to lead. */
--- a/src/sapphirehook/keys/range_keeper.hpp
+++ b/src/sapphirehook/keys/range_keeper.hpp
@@ -47,6 +47,9 @@
   /** An endpoint that has started again may hold what its earlier life was
       granted, until it has released it. */
   static constexpr bool kFollowOwner = true;
+  /** Neighbouring ranges are joined only while no order for one of them is
+      under way or may still be carried out. */
+  static constexpr bool kJoinQuietOnly = true;
 };
 
 /** What the keeper knows of an endpoint that may hold ranges. */
@@ -105,8 +108,9 @@
                    Fence aFirstFence,
                    TimePoint aForeignEnds);
 
-  /** Takes in a stored assignment. */
-  void Load(const RangeAssignment& aAssignment);
+  /** Takes in a stored assignment. Its owner is taken to hold the range until
+      a time, by the grants of an earlier leader, unless it says otherwise. */
+  void Load(const RangeAssignment& aAssignment, TimePoint aPresumedUntil);
 
   /** Adds ranges for the keys that no assignment covers: at least as many as
       given, of equal size. */
@@ -137,6 +141,10 @@
   /** Returns what is due now. */
   [[nodiscard]] KeeperActions Tick(TimePoint aNow);
 
+  /** The same for the ranges only that an answer or a move has changed since
+      the last call; it costs nothing for all others. */
+  [[nodiscard]] KeeperActions TickChanged(TimePoint aNow);
+
   /** Whether ranges wait for their new assignment to be stored. */
   [[nodiscard]] bool HasToStore() const;
 
@@ -202,7 +210,7 @@
   };
 
   [[nodiscard]] const KeeperEndpoint* Endpoint(const EndpointLife& aLife) const;
-  /** Counts the keys that each endpoint holds or is to get. */
+  /** Counts the keys that each endpoint holds or is to get, once a round. */
   void CountKeys();
   /** Returns the endpoint with the fewest keys for its capacity, and counts
       the range as its own; null when no endpoint may get one. */
@@ -211,6 +219,7 @@
   [[nodiscard]] bool OwnerIsDead(const Range& aRange) const;
   void FollowOwner(Range& aRange);
   void BeginMove(TimePoint aNow, Range& aRange, const EndpointLife& aTo);
+  void TickRange(TimePoint aNow, Range& aRange, KeeperActions& aActions);
   void TickHeld(TimePoint aNow, Range& aRange, KeeperActions& aActions);
   void TickReleasing(TimePoint aNow, Range& aRange, KeeperActions& aActions);
   void SendGrant(Range& aRange, KeeperActions& aActions);
@@ -220,6 +229,15 @@
   }
   void Publish(const Range& aRange);
   void CutBefore(Key aKey);
+  void CutForDealing(KeyRange aRange);
+  [[nodiscard]] bool CanJoin(TimePoint aNow,
+                             const Range& aLower,
+                             const Range& aUpper) const;
+  static void Join(Range& aLower, const Range& aUpper);
+  void JoinNeighbours(TimePoint aNow);
+  /** Calls a function for each range that still waits for an order's end. */
+  template<typename Function>
+  void ForOrdered(std::uint64_t aId, Function aFunction);
   void SetGranted(Range& aRange, bool aGranted);
   [[nodiscard]] bool MayApplyLate(TimePoint aNow, const Range& aRange) const;
 
@@ -231,7 +249,14 @@
   std::map<Key, Range> m_ranges;
   std::map<EndpointLife, KeeperEndpoint> m_endpoints;
   std::map<EndpointLife, double> m_keyCounts;
+  bool m_keysCounted = false;
   std::vector<RangeRoute> m_toPublish;
+  /** Keys of the orders under way, by the order. */
+  std::map<std::uint64_t, KeyRange> m_ordered;
+  /** First keys of the ranges that TickChanged looks at. */
+  std::set<Key> m_changed;
+  /** Largest part of a lost endpoint's keys that goes to one other, in keys. */
+  std::uint32_t m_dealtKeys = kKeyCount;
 };
 
 extern template class BasicRangeKeeper<KeeperRules>;
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/keys/range_keeper.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <iterator>
 #include <utility>
 
@@ -13,6 +14,9 @@
 
 /** Keeps a division by a capacity of nothing harmless. */
 inline constexpr double kLeastCapacity = 1e-6;
+/** Parts into which the keys of a lost endpoint with a mean share are cut, so
+    that they go to several others. */
+inline constexpr std::uint32_t kDealtParts = 6;
 
 } // namespace internal
 
@@ -28,7 +32,8 @@
 
 template<typename Rules>
 void
-BasicRangeKeeper<Rules>::Load(const RangeAssignment& aAssignment)
+BasicRangeKeeper<Rules>::Load(const RangeAssignment& aAssignment,
+                              TimePoint aPresumedUntil)
 {
   Range range;
   range.m_range = aAssignment.m_range;
@@ -37,6 +42,8 @@
   range.m_holdEnds = m_foreignEnds;
   range.m_unansweredEnds = m_foreignEnds;
   range.m_unansweredFence = aAssignment.m_fence;
+  range.m_granted = true;
+  range.m_heldUntil = aPresumedUntil;
   m_ranges.insert_or_assign(range.m_range.m_first, range);
 }
 
@@ -72,9 +79,13 @@
   const std::vector<KeeperEndpoint>& aEndpoints)
 {
   m_endpoints.clear();
+  std::uint32_t usable = 0;
   for (const auto& endpoint : aEndpoints) {
     m_endpoints.emplace(endpoint.m_life, endpoint);
+    usable += endpoint.m_usable ? 1 : 0;
   }
+  const auto parts = std::max<std::uint32_t>(usable, 1) * internal::kDealtParts;
+  m_dealtKeys = std::bit_floor(std::max<std::uint32_t>(kKeyCount / parts, 1));
 }
 
 template<typename Rules>
@@ -89,6 +100,9 @@
 void
 BasicRangeKeeper<Rules>::CountKeys()
 {
+  if (std::exchange(m_keysCounted, true)) {
+    return;
+  }
   m_keyCounts.clear();
   for (const auto& [first, range] : m_ranges) {
     const auto& holder =
@@ -101,6 +115,7 @@
 const KeeperEndpoint*
 BasicRangeKeeper<Rules>::ChooseTarget(const Range& aRange)
 {
+  CountKeys();
   const KeeperEndpoint* best = nullptr;
   double bestLoad = 0.0;
   for (const auto& [life, endpoint] : m_endpoints) {
@@ -184,6 +199,7 @@
       if (range.m_owner.m_name == aEndpoint) {
         range.m_needsFence = true;
         range.m_proofAfter = aNow;
+        m_changed.insert(first);
       }
     }
   }
@@ -208,6 +224,27 @@
   m_toPublish.push_back({ aRange.m_range, endpoint.m_name, aRange.m_granted });
 }
 
+template<typename Rules>
+template<typename Function>
+void
+BasicRangeKeeper<Rules>::ForOrdered(std::uint64_t aId, Function aFunction)
+{
+  const auto ordered = m_ordered.find(aId);
+  if (ordered == m_ordered.end()) {
+    return;
+  }
+  const KeyRange keys = ordered->second;
+  m_ordered.erase(ordered);
+  for (auto at = m_ranges.lower_bound(keys.m_first);
+       at != m_ranges.end() && at->first <= keys.m_last;
+       ++at) {
+    if (at->second.m_grantId == aId || at->second.m_releaseId == aId) {
+      m_changed.insert(at->first);
+      aFunction(at->second);
+    }
+  }
+}
+
 template<typename Rules>
 void
 BasicRangeKeeper<Rules>::OnGrantEnd(TimePoint aNow,
@@ -215,10 +252,7 @@
                                     const OrderAnswer& aAnswer)
 {
   const TimePoint ends = aNow + WithDrift(m_times.m_hold, m_times.m_driftPpm);
-  for (auto& [first, range] : m_ranges) {
-    if (range.m_grantId != aId) {
-      continue;
-    }
+  ForOrdered(aId, [&](Range& range) {
     range.m_grantId = 0;
     switch (aAnswer.m_end) {
       case OrderEnd::Done:
@@ -250,7 +284,7 @@
         range.m_dueAt = aNow + m_times.m_retryAfter;
         break;
     }
-  }
+  });
 }
 
 template<typename Rules>
@@ -259,10 +293,7 @@
                                       std::uint64_t aId,
                                       const OrderAnswer& aAnswer)
 {
-  for (auto& [first, range] : m_ranges) {
-    if (range.m_releaseId != aId) {
-      continue;
-    }
+  ForOrdered(aId, [&](Range& range) {
     range.m_releaseId = 0;
     if (aAnswer.m_end == OrderEnd::Done) {
       range.m_handover = aAnswer.m_handover;
@@ -270,7 +301,7 @@
     } else {
       range.m_dueAt = aNow + m_times.m_retryAfter;
     }
-  }
+  });
 }
 
 template<typename Rules>
@@ -293,6 +324,75 @@
   m_ranges.emplace(aKey, std::move(upper));
 }
 
+/** Cuts the range of a lost endpoint at fixed keys, so that its keys go to
+    several others. */
+template<typename Rules>
+void
+BasicRangeKeeper<Rules>::CutForDealing(KeyRange aRange)
+{
+  const std::uint32_t begin = aRange.m_first / m_dealtKeys + 1;
+  for (std::uint32_t key = begin * m_dealtKeys; key <= aRange.m_last;
+       key += m_dealtKeys) {
+    CutBefore(static_cast<Key>(key));
+  }
+}
+
+template<typename Rules>
+bool
+BasicRangeKeeper<Rules>::CanJoin(TimePoint aNow,
+                                 const Range& aLower,
+                                 const Range& aUpper) const
+{
+  const auto isQuiet = [&](const Range& aRange) {
+    return aRange.m_phase == Phase::Held && aRange.m_granted &&
+           (!Rules::kJoinQuietOnly ||
+            (aRange.m_grantId == 0 && !MayApplyLate(aNow, aRange))) &&
+           aRange.m_handover.empty() && !aRange.m_needsFence;
+  };
+  return aLower.m_owner == aUpper.m_owner && isQuiet(aLower) &&
+         isQuiet(aUpper) &&
+         aLower.m_range.m_first / kStoreBlockKeys ==
+           aUpper.m_range.m_last / kStoreBlockKeys;
+}
+
+template<typename Rules>
+void
+BasicRangeKeeper<Rules>::Join(Range& aLower, const Range& aUpper)
+{
+  aLower.m_range.m_last = aUpper.m_range.m_last;
+  aLower.m_fence = std::max(aLower.m_fence, aUpper.m_fence);
+  aLower.m_answeredFence =
+    std::min(aLower.m_answeredFence, aUpper.m_answeredFence);
+  aLower.m_unansweredFence =
+    std::max(aLower.m_unansweredFence, aUpper.m_unansweredFence);
+  aLower.m_unansweredEnds =
+    std::max(aLower.m_unansweredEnds, aUpper.m_unansweredEnds);
+  aLower.m_holdEnds = std::max(aLower.m_holdEnds, aUpper.m_holdEnds);
+  aLower.m_heldUntil = std::min(aLower.m_heldUntil, aUpper.m_heldUntil);
+  aLower.m_dueAt = std::min(aLower.m_dueAt, aUpper.m_dueAt);
+  aLower.m_proofAfter = std::max(aLower.m_proofAfter, aUpper.m_proofAfter);
+}
+
+/** Joins neighbouring ranges of one endpoint, so that one order renews both.
+    The joined range gets a new fence with its next renewal. */
+template<typename Rules>
+void
+BasicRangeKeeper<Rules>::JoinNeighbours(TimePoint aNow)
+{
+  for (auto lower = m_ranges.begin(); lower != m_ranges.end();) {
+    auto upper = std::next(lower);
+    bool joined = false;
+    while (upper != m_ranges.end() &&
+           CanJoin(aNow, lower->second, upper->second)) {
+      Join(lower->second, upper->second);
+      upper = m_ranges.erase(upper);
+      joined = true;
+    }
+    lower->second.m_needsFence = lower->second.m_needsFence || joined;
+    lower = upper;
+  }
+}
+
 template<typename Rules>
 void
 BasicRangeKeeper<Rules>::Move(TimePoint aNow,
@@ -333,6 +433,7 @@
   aRange.m_phase = Phase::Releasing;
   aRange.m_dueAt = aNow;
   aRange.m_granted = false;
+  m_changed.insert(aRange.m_range.m_first);
   Publish(aRange);
 }
 
@@ -341,22 +442,50 @@
 BasicRangeKeeper<Rules>::Tick(TimePoint aNow)
 {
   KeeperActions actions;
-  CountKeys();
+  m_keysCounted = false;
+  m_changed.clear();
+  JoinNeighbours(aNow);
   for (auto& [first, range] : m_ranges) {
-    if (range.m_phase == Phase::Held || range.m_phase == Phase::Releasing) {
-      FollowOwner(range);
-    }
-    if (range.m_phase == Phase::Held) {
-      TickHeld(aNow, range, actions);
-    }
-    if (range.m_phase == Phase::Releasing) {
-      TickReleasing(aNow, range, actions);
+    TickRange(aNow, range, actions);
+  }
+  actions.m_routes = std::exchange(m_toPublish, {});
+  return actions;
+}
+
+template<typename Rules>
+KeeperActions
+BasicRangeKeeper<Rules>::TickChanged(TimePoint aNow)
+{
+  KeeperActions actions;
+  m_keysCounted = false;
+  const auto changed = std::exchange(m_changed, {});
+  for (const Key first : changed) {
+    const auto range = m_ranges.find(first);
+    if (range != m_ranges.end()) {
+      TickRange(aNow, range->second, actions);
     }
   }
   actions.m_routes = std::exchange(m_toPublish, {});
   return actions;
 }
 
+template<typename Rules>
+void
+BasicRangeKeeper<Rules>::TickRange(TimePoint aNow,
+                                   Range& aRange,
+                                   KeeperActions& aActions)
+{
+  if (aRange.m_phase == Phase::Held || aRange.m_phase == Phase::Releasing) {
+    FollowOwner(aRange);
+  }
+  if (aRange.m_phase == Phase::Held) {
+    TickHeld(aNow, aRange, aActions);
+  }
+  if (aRange.m_phase == Phase::Releasing) {
+    TickReleasing(aNow, aRange, aActions);
+  }
+}
+
 template<typename Rules>
 void
 BasicRangeKeeper<Rules>::TickHeld(TimePoint aNow,
@@ -367,6 +496,7 @@
     SetGranted(aRange, false);
   }
   if (!OwnerStays(aRange)) {
+    CutForDealing(aRange.m_range);
     const auto* target = ChooseTarget(aRange);
     if (target != nullptr) {
       BeginMove(aNow, aRange, target->m_life);
@@ -387,6 +517,7 @@
     aRange.m_needsFence = false;
   }
   aRange.m_grantId = m_nextId++;
+  m_ordered.emplace(aRange.m_grantId, aRange.m_range);
   aActions.m_grants.push_back(
     { aRange.m_grantId,
       aRange.m_owner.m_name,
@@ -421,6 +552,7 @@
     return;
   }
   aRange.m_releaseId = m_nextId++;
+  m_ordered.emplace(aRange.m_releaseId, aRange.m_range);
   aActions.m_releases.push_back({ aRange.m_releaseId,
                                   aRange.m_owner.m_name,
                                   { aRange.m_range, aRange.m_fence } });
@@ -440,7 +572,7 @@
 BasicRangeKeeper<Rules>::BeginStore() -> std::vector<StoreBlock>
 {
   std::set<unsigned> blocks;
-  CountKeys();
+  m_keysCounted = false;
   for (auto& [first, range] : m_ranges) {
     if (range.m_phase != Phase::ToStore) {
       continue;
@@ -495,6 +627,7 @@
     range.m_heldUntil = {};
     range.m_dueAt = aNow;
     range.m_granted = false;
+    m_changed.insert(first);
     Publish(range);
   }
 }
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -18,7 +18,7 @@
 Leadership
 Follower()
 {
-  Leadership leadership(LeadershipTimes{}, kSelf, At(1000));
+  Leadership leadership(LeadershipTimes{}, kSelf, 0.2, At(1000));
   leadership.SetStoreWorks(At(1000), true);
   return leadership;
 }
@@ -31,19 +31,22 @@
   auto leadership = Follower();
   CHECK_FALSE(leadership.ShouldClaim(At(1500)));
   CHECK(leadership.ShouldClaim(At(1700)));
-  leadership.OnBeat(At(1650), kOther, 1, true, { true, At(1600), false, {} });
+  leadership.OnBeat(
+    At(1650), kOther, 1, true, { true, At(1600), false, {}, 0.2 });
   CHECK_FALSE(leadership.ShouldClaim(At(2300)));
 }
 
 TEST_CASE("candidates claim one after the other", "[keys]")
 {
   auto leadership = Follower();
-  leadership.OnBeat(At(1600), kOther, 0, false, { true, At(1600), false, {} });
+  leadership.OnBeat(
+    At(1600), kOther, 0, false, { true, At(1600), false, {}, 0.2 });
   CHECK_FALSE(leadership.ShouldClaim(At(1720)));
   CHECK(leadership.ShouldClaim(At(1950)));
   SECTION("one without the store does not count")
   {
-    leadership.OnBeat(At(1650), kOther, 0, false, { false, {}, false, {} });
+    leadership.OnBeat(
+      At(1650), kOther, 0, false, { false, {}, false, {}, 0.2 });
     CHECK(leadership.ShouldClaim(At(1720)));
   }
 }
@@ -78,7 +81,7 @@
   SECTION("when another run has started on its host")
   {
     leadership.OnBeat(
-      At(1800), { "a", 21 }, 0, false, { true, At(1600), false, {} });
+      At(1800), { "a", 21 }, 0, false, { true, At(1600), false, {}, 0.2 });
     leadership.OnClaimed(At(2000), 2);
     CHECK(leadership.ForeignGrantsEnd() == At(1800) + hold);
   }
@@ -104,14 +107,17 @@
 {
   auto leadership = Follower();
   leadership.OnClaimed(At(2000), 1);
-  leadership.OnBeat(At(4800), kOther, 1, false, { false, {}, false, {} });
+  leadership.OnBeat(At(4800), kOther, 1, false, { false, {}, false, {}, 0.2 });
   CHECK_FALSE(leadership.ShouldResign(At(5000)));
   // It believes to reach the store, but has had no answer since long before.
-  leadership.OnBeat(At(4850), kOther, 1, false, { true, At(1600), false, {} });
+  leadership.OnBeat(
+    At(4850), kOther, 1, false, { true, At(1600), false, {}, 0.2 });
   CHECK_FALSE(leadership.ShouldResign(At(5000)));
-  leadership.OnBeat(At(4900), kOther, 1, false, { true, At(4800), false, {} });
+  leadership.OnBeat(
+    At(4900), kOther, 1, false, { true, At(4800), false, {}, 0.2 });
   CHECK_FALSE(leadership.ShouldResign(At(5000)));
-  leadership.OnBeat(At(6400), kOther, 1, false, { true, At(6300), false, {} });
+  leadership.OnBeat(
+    At(6400), kOther, 1, false, { true, At(6300), false, {}, 0.2 });
   CHECK(leadership.ShouldResign(At(6500)));
   leadership.OnProof(At(6500));
   CHECK_FALSE(leadership.ShouldResign(At(6600)));
@@ -122,7 +128,8 @@
   auto leadership = Follower();
   leadership.SetStoreWorks(At(3000), false);
   CHECK_FALSE(leadership.ShouldClaim(At(8950)));
-  leadership.OnBeat(At(8900), kOther, 1, false, { true, At(8900), false, {} });
+  leadership.OnBeat(
+    At(8900), kOther, 1, false, { true, At(8900), false, {}, 0.2 });
   leadership.SetStoreWorks(At(9000), true);
   CHECK_FALSE(leadership.ShouldClaim(At(9010)));
   CHECK(leadership.ShouldClaim(At(9000) + LeadershipTimes{}.m_stagger));
--- a/test/sapphirehook/keys/range_keeper.cpp
+++ b/test/sapphirehook/keys/range_keeper.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t kCells = 16;
+constexpr std::size_t kCells = 64;
 constexpr std::uint32_t kCellKeys = kKeyCount / kCells;
 constexpr Millis kAuthority{ 3000 };
 
@@ -99,10 +99,10 @@
       KeeperTimes{}, (static_cast<Fence>(m_term) << 20U) + 1, aForeignEnds);
     for (const auto& [block, assignments] : m_stored) {
       for (const auto& assignment : assignments) {
-        keeper->Load(assignment);
+        keeper->Load(assignment, m_now + Millis(1500));
       }
     }
-    keeper->CoverAll(kCells);
+    keeper->CoverAll(16);
     m_old = std::move(m_keeper);
     m_oldUntil = m_now + kAuthority;
     m_keeper = std::move(keeper);
@@ -171,8 +171,11 @@
   void TickLeader(int aTerm, Keeper& aKeeper)
   {
     const int slot = aTerm == m_term ? 0 : 1;
-    aKeeper.SetEndpoints(View());
-    const auto actions = aKeeper.Tick(m_now);
+    const bool all = Draw(3) == 0;
+    if (all) {
+      aKeeper.SetEndpoints(View());
+    }
+    const auto actions = all ? aKeeper.Tick(m_now) : aKeeper.TickChanged(m_now);
     m_reconnected.clear();
     for (const auto& grant : actions.m_grants) {
       Order order{ aTerm, true, grant.m_id, grant.m_endpoint, 0, grant.m_order,
@@ -332,7 +335,7 @@
   {
     if (Draw(40) == 0) {
       const auto first = static_cast<std::uint32_t>(Draw(kCells)) * kCellKeys;
-      const auto cells = 1 + static_cast<std::uint32_t>(Draw(2));
+      const auto cells = 1 + static_cast<std::uint32_t>(Draw(6));
       const auto last = std::min(first + cells * kCellKeys, kKeyCount) - 1;
       m_keeper->Move(m_now,
                      { static_cast<Key>(first), static_cast<Key>(last) },
@@ -419,6 +422,11 @@
   static constexpr bool kFollowOwner = false;
 };
 
+struct JoinBesideGrant : KeeperRules
+{
+  static constexpr bool kJoinQuietOnly = false;
+};
+
 /** Returns the first fault over a number of seeds. */
 template<typename Rules>
 std::string
@@ -487,6 +495,7 @@
   CHECK(FirstFault<OldFenceOnNewConnection>(60) != "");
   CHECK(FirstFault<StaleGrantToNewLife>(60) != "");
   CHECK(FirstFault<EarlierLifeIsGone>(60) != "");
+  CHECK(FirstFault<JoinBesideGrant>(200) != "");
 }
 
 TEST_CASE("what is stored names each range's holder, however ranges are cut",
