Requests without a key: a few endpoints drawn at random are compared

No daemon had the five answers from an endpoint that it needs to know its speed, and a request that timed out told nothing of a slow endpoint. Ruled out: capacity (half of the slots were idle); the caps of connections (an outcome of the same gathering). Change: near and far endpoints are drawn at random and compared by expected finish, with own requests standing for unseen ones; answers are counted by all daemons together, the leader of a large fleet tells the means; overdue requests and time-outs count against an endpoint; uploads stay in their zone unless that costs 150 ms.

--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -66,11 +66,7 @@
     m_leaderReads = aBeat.m_storeWorks;
   }
   if (IsLargeFleet() && aBeat.m_leads) {
-    std::map<std::uint32_t, std::uint32_t> totals;
-    for (const auto& total : aBeat.m_totals) {
-      totals[total.m_endpointHash] = total.m_running;
-    }
-    m_engine.OnFleetUse(aNow, totals);
+    m_engine.OnFleetUse(aNow, aBeat.m_totals);
   } else if (!IsLargeFleet() || m_ownership.Leads()) {
     m_engine.OnPeerUse(aNow, aFrom.m_host, aBeat.m_uses);
   }
@@ -123,7 +119,7 @@
   }
   Beat beat;
   beat.m_stopping = m_stopping;
-  beat.m_uses = m_engine.Uses();
+  beat.m_uses = m_engine.TakeUses(now);
   beat.m_ends[m_protocol.m_configTopic] = m_configReader.End();
   beat.m_ends[m_protocol.m_endpointTopic] = m_endpointReader.End();
   beat.m_storeWorks = m_storeWorks;
@@ -133,9 +129,7 @@
   const auto leader = m_ownership.Leader(now);
   if (IsLargeFleet() && beat.m_leads) {
     beat.m_uses.clear();
-    for (const auto& [hash, running] : m_engine.Totals(now)) {
-      beat.m_totals.push_back({ hash, running });
-    }
+    beat.m_totals = m_engine.Totals(now);
   }
   if (IsLargeFleet() && leader && !beat.m_leads) {
     m_gossip.SendTo(leader->m_host, beat);
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -15,16 +15,21 @@
 /** Time in which answers are late by being brought from another zone. */
 constexpr Millis kZoneCost{ 3 };
 /** The same for large bodies, whose bytes between zones cost more. */
-constexpr Millis kZoneCostOfBody{ 40 };
+constexpr Millis kZoneCostOfBody{ 150 };
 /** No answer is reckoned to take less than this, in seconds. */
 constexpr double kLeastServiceSeconds = 0.001;
 /** Name under which the use by all other daemons together is kept. */
 constexpr const char* kFleet = "fleet";
 
+/** Endpoints that the fleet is told of in turn, with each beat; 350 take 2 s.
+ */
+constexpr std::size_t kToldInTurn = 24;
+
 std::uint32_t
-ShortHash(const std::string& aName)
+WholeMillis(std::chrono::nanoseconds aSpan)
 {
-  return static_cast<std::uint32_t>(StableHash(aName));
+  return static_cast<std::uint32_t>(
+    std::chrono::duration_cast<Millis>(aSpan).count());
 }
 
 } // namespace
@@ -37,6 +42,7 @@
   , m_protocol(aProtocol)
   , m_log(aLog)
   , m_settings(std::move(aSettings))
+  , m_chooser(m_settings.m_seed)
 {
 }
 
@@ -68,6 +74,21 @@
   std::erase_if(m_endpoints, [&](const auto& aOne) {
     return aDirectory.Find(aOne.first) == nullptr;
   });
+  IndexEndpoints();
+}
+
+void
+RequestEngine::IndexEndpoints()
+{
+  for (auto& [name, service] : m_services) {
+    service.m_near.clear();
+    service.m_far.clear();
+  }
+  for (const auto& [name, endpoint] : m_endpoints) {
+    auto& service = ServiceOf(endpoint->m_record.m_service);
+    const bool near = endpoint->m_record.m_zone == m_settings.m_zone;
+    (near ? service.m_near : service.m_far).push_back(endpoint.get());
+  }
 }
 
 RequestEngine::Service&
@@ -93,6 +114,7 @@
 RequestEngine::SetDaemons(std::size_t aDaemons)
 {
   m_daemons = std::max<std::size_t>(aDaemons, 1);
+  m_chooser.SetDaemons(m_daemons);
   for (auto& [name, service] : m_services) {
     service.m_budget.SetDaemons(m_daemons);
   }
@@ -103,58 +125,91 @@
                          const std::string& aPeer,
                          const std::vector<EndpointUse>& aUses)
 {
-  std::map<std::string_view, const EndpointUse*> told;
+  std::map<std::uint32_t, const EndpointUse*> told;
   for (const auto& use : aUses) {
     told[use.m_endpoint] = &use;
   }
   for (auto& [name, endpoint] : m_endpoints) {
-    const auto found = told.find(name);
-    endpoint->m_load.OnPeer(
-      aNow, aPeer, found == told.end() ? 0 : found->second->m_running);
-    if (found != told.end() && found->second->m_serviceMs > 0) {
-      endpoint->m_load.OnPeerService(Millis(found->second->m_serviceMs));
+    const auto found = told.find(endpoint->m_hash);
+    if (found == told.end()) {
+      endpoint->m_load.OnPeer(aNow, aPeer, {});
+      continue;
     }
+    const auto& use = *found->second;
+    endpoint->m_load.OnPeer(aNow, aPeer, { use.m_running, use.m_overdue });
+    endpoint->m_load.OnPeerAnswers(use.m_answers, Millis(use.m_serviceMs));
   }
 }
 
 void
-RequestEngine::OnFleetUse(TimePoint aNow,
-                          const std::map<std::uint32_t, std::uint32_t>& aTotals)
+RequestEngine::OnFleetUse(TimePoint aNow, const std::vector<FleetUse>& aTotals)
 {
+  std::map<std::uint32_t, const FleetUse*> told;
+  for (const auto& use : aTotals) {
+    told[use.m_endpoint] = &use;
+  }
   for (auto& [name, endpoint] : m_endpoints) {
-    const auto found = aTotals.find(ShortHash(name));
-    const std::size_t total = found == aTotals.end() ? 0 : found->second;
-    const auto own = endpoint->m_load.OwnRunning();
-    endpoint->m_load.OnPeer(aNow, kFleet, total > own ? total - own : 0);
+    auto& load = endpoint->m_load;
+    const auto found = told.find(endpoint->m_hash);
+    if (found == told.end()) {
+      load.OnPeer(aNow, kFleet, {});
+      continue;
+    }
+    const auto& use = *found->second;
+    const auto own = load.OwnUse(aNow);
+    const auto others = [](std::size_t aAll, std::size_t aOwn) {
+      return aAll > aOwn ? aAll - aOwn : 0;
+    };
+    load.OnPeer(aNow,
+                kFleet,
+                { others(use.m_running, own.m_running),
+                  others(use.m_overdue, own.m_overdue) });
+    load.OnFleetService(Millis(use.m_serviceMs));
   }
 }
 
-std::map<std::uint32_t, std::uint32_t>
-RequestEngine::Totals(TimePoint aNow) const
+std::vector<FleetUse>
+RequestEngine::Totals(TimePoint aNow)
 {
-  std::map<std::uint32_t, std::uint32_t> totals;
+  std::map<std::uint32_t, const Endpoint*> byHash;
   for (const auto& [name, endpoint] : m_endpoints) {
-    const auto running = endpoint->m_load.Running(aNow);
-    if (running * 2 >= endpoint->m_load.Slots()) {
-      totals[ShortHash(name)] = static_cast<std::uint32_t>(running);
+    byHash[endpoint->m_hash] = endpoint.get();
+  }
+  std::set<std::uint32_t> inTurn;
+  auto next = byHash.upper_bound(m_toldUpTo);
+  while (inTurn.size() < std::min(kToldInTurn, byHash.size())) {
+    next = next == byHash.end() ? byHash.begin() : next;
+    m_toldUpTo = next->first;
+    inTurn.insert(next->first);
+    ++next;
+  }
+  std::vector<FleetUse> totals;
+  for (const auto& [hash, endpoint] : byHash) {
+    const auto& load = endpoint->m_load;
+    const auto use = load.AllUse(aNow);
+    if (use.m_running * 2 >= load.Slots() || inTurn.contains(hash)) {
+      totals.push_back({ hash,
+                         static_cast<std::uint32_t>(use.m_running),
+                         static_cast<std::uint32_t>(use.m_overdue),
+                         WholeMillis(load.ServiceTime()) });
     }
   }
   return totals;
 }
 
 std::vector<EndpointUse>
-RequestEngine::Uses() const
+RequestEngine::TakeUses(TimePoint aNow)
 {
   std::vector<EndpointUse> uses;
   for (const auto& [name, endpoint] : m_endpoints) {
-    const auto running = endpoint->m_load.OwnRunning();
-    if (running > 0) {
-      uses.push_back(
-        { name,
-          static_cast<std::uint32_t>(running),
-          static_cast<std::uint32_t>(
-            std::chrono::duration_cast<Millis>(endpoint->m_load.ServiceTime())
-              .count()) });
+    const auto use = endpoint->m_load.OwnUse(aNow);
+    const auto answers = endpoint->m_load.TakeAnswers();
+    if (use.m_running > 0 || answers.m_count > 0) {
+      uses.push_back({ endpoint->m_hash,
+                       static_cast<std::uint32_t>(use.m_running),
+                       static_cast<std::uint32_t>(use.m_overdue),
+                       static_cast<std::uint32_t>(answers.m_count),
+                       WholeMillis(answers.m_service) });
     }
   }
   return uses;
@@ -168,12 +223,13 @@
     return 1.0;
   }
   const auto& endpoint = *found->second;
-  std::chrono::duration<double> time = endpoint.m_load.SharedServiceTime();
+  std::chrono::duration<double> time = endpoint.m_load.ServiceTime();
   const auto service = m_services.find(endpoint.m_record.m_service);
   if (time.count() <= 0.0 && service != m_services.end()) {
     time = service->second.m_typical;
   }
-  return static_cast<double>(endpoint.m_load.Slots()) /
+  const double able = 1.0 - endpoint.m_load.OverduePart(BootClock::now());
+  return able * static_cast<double>(endpoint.m_load.Slots()) /
          std::max(time.count(), kLeastServiceSeconds);
 }
 
@@ -363,34 +419,29 @@
                          const Transaction& aTransaction,
                          const Service& aService)
 {
-  Endpoint* best = nullptr;
-  std::chrono::nanoseconds bestTime{};
   const auto zoneCost = aTransaction.m_route->m_kind == RequestKind::Upload
                           ? kZoneCostOfBody
                           : kZoneCost;
-  for (const auto& [name, owned] : m_endpoints) {
-    auto& endpoint = *owned;
-    if (endpoint.m_record.m_service != aTransaction.m_service ||
-        !endpoint.m_usable || !endpoint.m_load.HasRoom(aNow) ||
-        endpoint.m_load.IsEjected(aNow)) {
-      continue;
+  const auto cost =
+    [&](const Endpoint& aEndpoint) -> std::optional<std::chrono::nanoseconds> {
+    const auto& load = aEndpoint.m_load;
+    if (!aEndpoint.m_usable || !load.HasRoom(aNow) || load.IsEjected(aNow)) {
+      return std::nullopt;
     }
-    auto time = endpoint.m_load.ExpectedFinish(aNow, aService.m_typical);
-    if (endpoint.m_record.m_zone != m_settings.m_zone) {
+    auto time =
+      load.ExpectedFinish(aNow, aService.m_typical, m_chooser.OwnWeight());
+    if (aEndpoint.m_record.m_zone != m_settings.m_zone) {
       time += zoneCost;
     }
-    if (aTransaction.m_tried.contains(name)) {
+    if (aTransaction.m_tried.contains(aEndpoint.m_record.m_life.m_name)) {
       time *= 4; // another endpoint first
     }
-    if (aNow < endpoint.m_warmAt) {
+    if (aNow < aEndpoint.m_warmAt) {
       time *= 2;
     }
-    if (best == nullptr || time < bestTime) {
-      best = &endpoint;
-      bestTime = time;
-    }
-  }
-  return best;
+    return time;
+  };
+  return m_chooser.Choose<Endpoint>(aService.m_near, aService.m_far, cost);
 }
 
 void
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -2,11 +2,13 @@
 #define SAPPHIREHOOK_GATEWAY_REQUEST_ENGINE_HPP
 
 #include "sapphirehook/core/event_log.hpp"
+#include "sapphirehook/core/hash.hpp"
 #include "sapphirehook/gateway/caller_connection.hpp"
 #include "sapphirehook/gateway/upstream_connection.hpp"
 #include "sapphirehook/keys/hot_key_counter.hpp"
 #include "sapphirehook/keys/range_map.hpp"
 #include "sapphirehook/placement/arrival_budget.hpp"
+#include "sapphirehook/placement/endpoint_choice.hpp"
 #include "sapphirehook/placement/retry_policy.hpp"
 
 #include <list>
@@ -22,6 +24,8 @@
 {
   std::string m_zone;
   BudgetConfig m_budget;
+  /** Seed of random choices; daemons should differ in it. */
+  std::uint32_t m_seed = 1;
 };
 
 /** Counts of the request path since the start. */
@@ -39,12 +43,28 @@
 /** An endpoint's use by this daemon, for its peers. */
 struct EndpointUse
 {
-  std::string m_endpoint;
+  /** Hash of the endpoint's name. */
+  std::uint32_t m_endpoint = 0;
   std::uint32_t m_running = 0;
-  /** Mean time of an answer, in milliseconds. */
+  std::uint32_t m_overdue = 0;
+  /** Answers since the last telling, and their mean time in milliseconds. */
+  std::uint32_t m_answers = 0;
   std::uint32_t m_serviceMs = 0;
 
-  MSGPACK_DEFINE_ARRAY(m_endpoint, m_running, m_serviceMs)
+  MSGPACK_DEFINE_ARRAY(m_endpoint, m_running, m_overdue, m_answers, m_serviceMs)
+};
+
+/** An endpoint's use by all daemons of a large fleet, as the leader tells. */
+struct FleetUse
+{
+  /** Hash of the endpoint's name. */
+  std::uint32_t m_endpoint = 0;
+  std::uint32_t m_running = 0;
+  std::uint32_t m_overdue = 0;
+  /** Mean time of an answer in milliseconds; 0 while unknown. */
+  std::uint32_t m_serviceMs = 0;
+
+  MSGPACK_DEFINE_ARRAY(m_endpoint, m_running, m_overdue, m_serviceMs)
 };
 
 /** Brings requests to endpoints: admits, routes, queues, sends, repeats and
@@ -74,19 +94,18 @@
                  const std::string& aPeer,
                  const std::vector<EndpointUse>& aUses);
 
-  /** Takes in the use of endpoints by all daemons, this one included, by the
-      endpoints' hashes. */
-  void OnFleetUse(TimePoint aNow,
-                  const std::map<std::uint32_t, std::uint32_t>& aTotals);
+  /** Takes in the use of endpoints by all daemons, this one included. */
+  void OnFleetUse(TimePoint aNow, const std::vector<FleetUse>& aTotals);
 
-  /** Adds this daemon's use of endpoints, and what it knows of its peers', to
-      the totals of endpoints that are worth telling of. */
-  [[nodiscard]] std::map<std::uint32_t, std::uint32_t> Totals(
-    TimePoint aNow) const;
+  /** Returns the use of endpoints by this daemon and its peers: of the busy
+      ones, and in turn of some others, whose speed the fleet should know. */
+  [[nodiscard]] std::vector<FleetUse> Totals(TimePoint aNow);
 
   void SetDaemons(std::size_t aDaemons);
 
-  [[nodiscard]] std::vector<EndpointUse> Uses() const;
+  /** Returns this daemon's use of endpoints, with the answers since the last
+      call. */
+  [[nodiscard]] std::vector<EndpointUse> TakeUses(TimePoint aNow);
 
   /** Returns how many requests a second an endpoint can work off, by what this
       daemon has measured. */
@@ -129,13 +148,15 @@
 private:
   struct Endpoint
   {
-    Endpoint(const EndpointRecord& aRecord)
+    explicit Endpoint(const EndpointRecord& aRecord)
       : m_record(aRecord)
+      , m_hash(static_cast<std::uint32_t>(StableHash(aRecord.m_life.m_name)))
       , m_load(aRecord.m_slots)
     {
     }
 
     EndpointRecord m_record;
+    std::uint32_t m_hash = 0;
     EndpointLoad m_load;
     bool m_usable = true;
     TimePoint m_warmAt{};
@@ -153,6 +174,9 @@
     ArrivalBudget m_budget;
     HotKeyCounter m_keyCounter{ kKeyCounters };
     std::list<TransactionPtr> m_waiting;
+    /** Its endpoints in this daemon's zone, and in others. */
+    std::vector<Endpoint*> m_near;
+    std::vector<Endpoint*> m_far;
     std::chrono::nanoseconds m_typical = std::chrono::milliseconds(100);
   };
 
@@ -170,6 +194,7 @@
   [[nodiscard]] Endpoint* ChooseAny(TimePoint aNow,
                                     const Transaction& aTransaction,
                                     const Service& aService);
+  void IndexEndpoints();
   void Enqueue(const TransactionPtr& aTransaction);
   void Dequeue(const TransactionPtr& aTransaction);
   void SendTo(TimePoint aNow,
@@ -220,6 +245,9 @@
   std::map<std::string, std::unique_ptr<Endpoint>> m_endpoints;
   std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_callers;
   EngineCounts m_counts;
+  EndpointChooser m_chooser;
+  /** Hash up to which the fleet has been told of idle endpoints. */
+  std::uint32_t m_toldUpTo = 0;
   std::size_t m_daemons = 1;
   bool m_stopping = false;
   bool m_pumping = false;
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -12,15 +12,6 @@
 
 namespace sapphirehook {
 
-/** Requests of all daemons at one endpoint, which is named by its hash. */
-struct FleetUse
-{
-  std::uint32_t m_endpointHash = 0;
-  std::uint32_t m_running = 0;
-
-  MSGPACK_DEFINE_ARRAY(m_endpointHash, m_running)
-};
-
 /** Sent several times a second: in a small fleet by each daemon to all others,
     in a large one by each to the leader, and by the leader to all. */
 struct Beat
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -19,6 +19,9 @@
 constexpr Millis kFreshProof{ 1500 };
 /** Others must reach the store for this long before a leader makes room. */
 constexpr Millis kOthersReachFor{ 1500 };
+/** Runs that began this long before the own one, in milliseconds of the time of
+    day, may have claimed since. */
+constexpr std::uint64_t kFreshRun = 1500;
 /** Daemons that a leader names to claim after it. */
 constexpr std::size_t kHeirs = 4;
 /** A leader makes room for a daemon with this many times its processor, once
@@ -54,7 +57,10 @@
     // Counted from the reading, which is later than the append.
     m_earlierEnds = aNow + Millis(aRecord.m_earlierGrantsMs);
   }
-  if (aRecord.m_term > m_term) {
+  const bool isFresh =
+    m_term != 0 ||
+    aRecord.m_leader.m_incarnation + kFreshRun >= m_self.m_incarnation;
+  if (aRecord.m_term > m_term && isFresh) {
     // One that has just claimed is given the time to speak.
     m_leader = aRecord.m_leader;
     m_leaderHeardAt = aNow;
--- a/src/sapphirehook/placement/endpoint_load.cpp
+++ b/src/sapphirehook/placement/endpoint_load.cpp
@@ -1,6 +1,8 @@
 #include "sapphirehook/placement/endpoint_load.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace sapphirehook {
 
@@ -15,8 +17,17 @@
 constexpr Millis kLongestEjection{ 3200 };
 /** An endpoint that said it is full gets nothing for this long. */
 constexpr Millis kFullLasts{ 60 };
+/** A request is overdue after this many times the usual time; 3 in 100 requests
+    of the users' sheets last seven times as long as the others. */
+constexpr double kOverdueAfter = 3.0;
+/** Overdue requests that tell of a slow endpoint: this many, and this part of
+    those there. One in ten of a sound endpoint's is overdue at a time. */
+constexpr std::size_t kEnoughOverdue = 2;
+constexpr double kOverduePart = 0.6;
+/** Own answers after which the fleet's mean tells nothing more. */
+constexpr std::size_t kManySamples = 40;
 /** Weights of the newest observation in running means. */
-constexpr double kServiceWeight = 0.04;
+constexpr double kServiceWeight = 0.01;
 constexpr double kFailureWeight = 0.1;
 
 std::chrono::nanoseconds
@@ -29,19 +40,17 @@
 } // namespace
 
 double
-EndpointLoad::Turns(std::size_t aRunning) const noexcept
+EndpointLoad::Turns(double aRunning) const noexcept
 {
-  return aRunning < m_slots
-           ? 1.0
-           : 1.0 + static_cast<double>(aRunning - m_slots + 1) /
-                     static_cast<double>(m_slots);
+  const auto slots = static_cast<double>(m_slots);
+  return 1.0 + std::max(aRunning - slots + 1.0, 0.0) / slots;
 }
 
 double
 EndpointLoad::OnSent(TimePoint aNow)
 {
-  const double turns = Turns(Running(aNow));
-  ++m_running;
+  const double turns = Turns(static_cast<double>(Running(aNow)));
+  m_sentAt.push_back(aNow);
   return turns;
 }
 
@@ -51,8 +60,16 @@
                     std::chrono::nanoseconds aTook,
                     double aTurns)
 {
-  m_running -= m_running > 0 ? 1 : 0;
+  const auto sent = std::find(m_sentAt.begin(), m_sentAt.end(), aNow - aTook);
+  if (!m_sentAt.empty()) {
+    m_sentAt.erase(sent != m_sentAt.end() ? sent : m_sentAt.begin());
+  }
+  const auto service = Scaled(aTook, 1.0 / aTurns);
   if (aEnd == AttemptEnd::Abandoned) {
+    if (service > ServiceTime() &&
+        ServiceTime() > std::chrono::nanoseconds(0)) {
+      AddOwnAnswer(service); // it would have taken longer still
+    }
     return;
   }
   const bool reached = aEnd != AttemptEnd::NotSent && aEnd != AttemptEnd::Lost;
@@ -63,10 +80,7 @@
   }
   if (aEnd == AttemptEnd::Answered) {
     m_failuresInRow = 0;
-    // The mean of the first answers, then one that follows changes.
-    ++m_samples;
-    const double weight = std::max(kServiceWeight, 1.0 / m_samples);
-    m_service += Scaled(Scaled(aTook, 1.0 / aTurns) - m_service, weight);
+    AddOwnAnswer(service);
   } else if (!reached) {
     const auto ejection = std::min(
       kFirstEjection * (1U << std::min(m_failuresInRow, 4U)), kLongestEjection);
@@ -76,45 +90,105 @@
 }
 
 void
-EndpointLoad::OnPeer(TimePoint aNow,
-                     const std::string& aPeer,
-                     std::size_t aRunning)
+EndpointLoad::OnPeer(TimePoint aNow, const std::string& aPeer, Use aUse)
 {
-  if (aRunning == 0) {
+  if (aUse.m_running == 0) {
     m_peers.erase(aPeer);
   } else {
-    m_peers[aPeer] = { aRunning, aNow };
+    m_peers[aPeer] = { aUse, aNow };
   }
 }
 
 void
-EndpointLoad::OnPeerService(std::chrono::nanoseconds aService) noexcept
+EndpointLoad::AddOwnAnswer(std::chrono::nanoseconds aService) noexcept
+{
+  AddAnswers(1, aService);
+  ++m_untold;
+  m_untoldTime += aService;
+}
+
+/** Follows the mean of answers: of all while they are few, then one in which
+    older answers fade. */
+void
+EndpointLoad::AddAnswers(std::size_t aAnswers,
+                         std::chrono::nanoseconds aService) noexcept
+{
+  m_samples += aAnswers;
+  const auto answers = static_cast<double>(aAnswers);
+  const double weight = std::max(1.0 - std::pow(1.0 - kServiceWeight, answers),
+                                 answers / static_cast<double>(m_samples));
+  m_service += Scaled(aService - m_service, weight);
+}
+
+void
+EndpointLoad::OnPeerAnswers(std::size_t aAnswers,
+                            std::chrono::nanoseconds aService) noexcept
+{
+  if (aAnswers > 0) {
+    AddAnswers(aAnswers, aService);
+  }
+}
+
+EndpointLoad::Answers
+EndpointLoad::TakeAnswers() noexcept
 {
-  m_peerService =
-    m_peerService == std::chrono::nanoseconds(0)
-      ? aService
-      : m_peerService + Scaled(aService - m_peerService, kServiceWeight);
+  const auto count = std::exchange(m_untold, 0);
+  const auto time = std::exchange(m_untoldTime, {});
+  return { count,
+           count > 0 ? Scaled(time, 1.0 / static_cast<double>(count))
+                     : std::chrono::nanoseconds(0) };
 }
 
 std::chrono::nanoseconds
-EndpointLoad::SharedServiceTime() const noexcept
+EndpointLoad::ServiceTime() const noexcept
 {
-  const auto own = ServiceTime();
-  if (m_peerService == std::chrono::nanoseconds(0)) {
-    return own;
+  const bool fleetKnowsMore =
+    m_samples < kManySamples && m_fleetService > std::chrono::nanoseconds(0);
+  if (fleetKnowsMore || m_samples < kEnoughSamples) {
+    return m_fleetService;
   }
-  return own == std::chrono::nanoseconds(0) ? m_peerService
-                                            : (own + m_peerService) / 2;
+  return m_service;
 }
 
-std::size_t
-EndpointLoad::Running(TimePoint aNow) const
+EndpointLoad::Use
+EndpointLoad::OwnUse(TimePoint aNow) const
+{
+  const auto service = ServiceTime();
+  const auto running = m_sentAt.size();
+  const auto limit =
+    Scaled(service, kOverdueAfter * Turns(static_cast<double>(running)));
+  const auto overdue =
+    service == std::chrono::nanoseconds(0)
+      ? 0
+      : std::count_if(m_sentAt.begin(), m_sentAt.end(), [&](TimePoint aSent) {
+          return aNow - aSent > limit;
+        });
+  return { running, static_cast<std::size_t>(overdue) };
+}
+
+EndpointLoad::Use
+EndpointLoad::AllUse(TimePoint aNow) const
+{
+  Use all = OwnUse(aNow);
+  for (const auto& [peer, told] : m_peers) {
+    if (aNow < told.m_toldAt + kPeerWordLasts) {
+      all.m_running += told.m_use.m_running;
+      all.m_overdue += told.m_use.m_overdue;
+    }
+  }
+  return all;
+}
+
+double
+EndpointLoad::OverduePart(TimePoint aNow) const
 {
-  std::size_t running = m_running;
-  for (const auto& [peer, use] : m_peers) {
-    running += aNow < use.m_toldAt + kPeerWordLasts ? use.m_running : 0;
+  const Use all = AllUse(aNow);
+  if (all.m_overdue < kEnoughOverdue) {
+    return 0.0;
   }
-  return running;
+  const double part =
+    static_cast<double>(all.m_overdue) / static_cast<double>(all.m_running);
+  return part < kOverduePart ? 0.0 : part;
 }
 
 std::size_t
@@ -125,13 +199,18 @@
 
 std::chrono::nanoseconds
 EndpointLoad::ExpectedFinish(TimePoint aNow,
-                             std::chrono::nanoseconds aTypical) const
+                             std::chrono::nanoseconds aTypical,
+                             double aOwnWeight) const
 {
-  const auto shared = SharedServiceTime();
-  const auto service = shared > std::chrono::nanoseconds(0) ? shared : aTypical;
-  const double turns = Turns(Running(aNow));
-  constexpr double kFailureCost = 4.0; // a failure costs several services
-  return Scaled(service, turns * (1.0 + kFailureCost * m_failures));
+  const auto known = ServiceTime();
+  const auto service = known > std::chrono::nanoseconds(0) ? known : aTypical;
+  const auto own = static_cast<double>(OwnRunning());
+  const auto all = static_cast<double>(Running(aNow));
+  const double turns = Turns(all + own * (aOwnWeight - 1.0));
+  // A failure, or an answer long overdue, costs several services.
+  constexpr double kFailureCost = 4.0;
+  const double faults = m_failures + OverduePart(aNow);
+  return Scaled(service, turns * (1.0 + kFailureCost * faults));
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/placement/endpoint_load.hpp
+++ b/src/sapphirehook/placement/endpoint_load.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace sapphirehook {
 
@@ -48,13 +49,34 @@
              std::chrono::nanoseconds aTook,
              double aTurns);
 
+  /** Requests at an endpoint: all, and those that have lasted much longer than
+      is usual there. */
+  struct Use
+  {
+    std::size_t m_running = 0;
+    std::size_t m_overdue = 0;
+  };
+
   /** A peer told how many of its requests are at the endpoint. */
-  void OnPeer(TimePoint aNow, const std::string& aPeer, std::size_t aRunning);
+  void OnPeer(TimePoint aNow, const std::string& aPeer, Use aUse);
 
   /** Requests at the endpoint, as far as is known. */
-  [[nodiscard]] std::size_t Running(TimePoint aNow) const;
+  [[nodiscard]] Use AllUse(TimePoint aNow) const;
+  [[nodiscard]] std::size_t Running(TimePoint aNow) const
+  {
+    return AllUse(aNow).m_running;
+  }
 
-  [[nodiscard]] std::size_t OwnRunning() const noexcept { return m_running; }
+  /** This daemon's own. */
+  [[nodiscard]] Use OwnUse(TimePoint aNow) const;
+  [[nodiscard]] std::size_t OwnRunning() const noexcept
+  {
+    return m_sentAt.size();
+  }
+
+  /** Part of the endpoint's requests that are overdue; zero while they may as
+      well be a few long requests. */
+  [[nodiscard]] double OverduePart(TimePoint aNow) const;
 
   /** Requests that may be at the endpoint: its slots, and a few that keep a
       slot from falling idle between two requests. */
@@ -65,24 +87,34 @@
     return Running(aNow) < Limit(aNow);
   }
 
-  /** A peer told its mean time of an answer. */
-  void OnPeerService(std::chrono::nanoseconds aService) noexcept;
+  /** A peer told how many answers it got, and the mean time of one. */
+  void OnPeerAnswers(std::size_t aAnswers,
+                     std::chrono::nanoseconds aService) noexcept;
 
-  /** Mean time of an answer, by this daemon and its peers; zero while nothing
-      is known. */
-  [[nodiscard]] std::chrono::nanoseconds SharedServiceTime() const noexcept;
+  /** The leader told the mean time of an answer by all daemons. */
+  void OnFleetService(std::chrono::nanoseconds aService) noexcept
+  {
+    m_fleetService = aService;
+  }
+
+  /** Own answers that no peer has been told of, and their mean time. */
+  struct Answers
+  {
+    std::size_t m_count = 0;
+    std::chrono::nanoseconds m_service{};
+  };
+  [[nodiscard]] Answers TakeAnswers() noexcept;
+
+  /** Mean time of an answer without waiting, by all daemons; zero while too
+      little is known. */
+  [[nodiscard]] std::chrono::nanoseconds ServiceTime() const noexcept;
 
-  /** Time until a request sent now would be answered. */
+  /** Time until a request sent now would be answered. Each own request at the
+      endpoint stands for a number of requests. */
   [[nodiscard]] std::chrono::nanoseconds ExpectedFinish(
     TimePoint aNow,
-    std::chrono::nanoseconds aTypical) const;
-
-  /** Mean time of an answer without waiting; zero while nothing is known. */
-  [[nodiscard]] std::chrono::nanoseconds ServiceTime() const noexcept
-  {
-    return m_samples >= kEnoughSamples ? m_service
-                                       : std::chrono::nanoseconds(0);
-  }
+    std::chrono::nanoseconds aTypical,
+    double aOwnWeight) const;
 
   /** The endpoint is left out until this time, since it failed. */
   [[nodiscard]] bool IsEjected(TimePoint aNow) const noexcept
@@ -95,20 +127,28 @@
 private:
   struct PeerUse
   {
-    std::size_t m_running = 0;
+    Use m_use;
     TimePoint m_toldAt{};
   };
 
-  static constexpr unsigned kEnoughSamples = 5; // answers
+  static constexpr std::size_t kEnoughSamples = 5; // answers
 
   std::size_t m_slots;
-  std::size_t m_running = 0;
+  /** When each of this daemon's requests there was sent. */
+  std::vector<TimePoint> m_sentAt;
   std::map<std::string, PeerUse> m_peers;
-  [[nodiscard]] double Turns(std::size_t aRunning) const noexcept;
+  [[nodiscard]] double Turns(double aRunning) const noexcept;
+  void AddAnswers(std::size_t aAnswers,
+                  std::chrono::nanoseconds aService) noexcept;
+  void AddOwnAnswer(std::chrono::nanoseconds aService) noexcept;
 
+  /** Mean time of an answer, and over how many. */
   std::chrono::nanoseconds m_service{};
-  unsigned m_samples = 0;
-  std::chrono::nanoseconds m_peerService{};
+  std::size_t m_samples = 0;
+  std::chrono::nanoseconds m_fleetService{};
+  /** Own answers since TakeAnswers, and the sum of their times. */
+  std::size_t m_untold = 0;
+  std::chrono::nanoseconds m_untoldTime{};
   double m_failures = 0.0;
   unsigned m_failuresInRow = 0;
   TimePoint m_ejectedUntil{};
--- a/src/sapphirehook/placement/fwd.hpp
+++ b/src/sapphirehook/placement/fwd.hpp
@@ -7,6 +7,7 @@
 
 class EndpointLoad;
 class ArrivalBudget;
+class EndpointChooser;
 struct AttemptState;
 enum class AttemptEnd : unsigned char;
 
--- a/test/sapphirehook/placement/decisions.cpp
+++ b/test/sapphirehook/placement/decisions.cpp
@@ -150,10 +150,10 @@
 TEST_CASE("peers' requests count while their word is fresh", "[placement]")
 {
   EndpointLoad load(6);
-  load.OnPeer(At(0), "p", 7);
+  load.OnPeer(At(0), "p", { 7, 0 });
   CHECK(load.Running(At(100)) == 7);
   CHECK(load.HasRoom(At(100)));
-  load.OnPeer(At(100), "q", 1);
+  load.OnPeer(At(100), "q", { 1, 0 });
   CHECK_FALSE(load.HasRoom(At(100)));
   CHECK(load.Running(At(5000)) == 0);
 }
--- /dev/null
+++ b/test/support/fleet_replay.hpp
@@ -0,0 +1,416 @@
+#ifndef SAPPHIREHOOK_TEST_SUPPORT_FLEET_REPLAY_HPP
+#define SAPPHIREHOOK_TEST_SUPPORT_FLEET_REPLAY_HPP
+
+#include "sapphirehook/placement/endpoint_choice.hpp"
+#include "sapphirehook/placement/endpoint_load.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace support {
+
+/** A load pattern on a service without keys, and the fleet that meets it. */
+struct FleetLoad
+{
+  std::size_t m_daemons = 8;
+  std::size_t m_endpoints = 8;
+  /** Speeds of the endpoints, in turn. */
+  std::vector<double> m_speeds{ 0.7, 0.7, 1.6 };
+  double m_requestsPerSecond = 100.0;
+  /** Work of a request at speed 1: log-normal, and now and then a long one. */
+  std::chrono::duration<double> m_work{ 0.14 };
+  double m_spread = 0.5;
+  double m_longPart = 0.03;
+  double m_longFactor = 7.0;
+  std::chrono::duration<double> m_objective{ 0.5 };
+  /** How often daemons tell their use, and for how long the traffic lasts. */
+  std::chrono::duration<double> m_beat{ 0.15 };
+  std::chrono::duration<double> m_length{ 20.0 };
+  /** From this time on some endpoints are slower by a factor. */
+  std::chrono::duration<double> m_slowAt{ 1e9 };
+  std::size_t m_slowEndpoints = 0;
+  double m_slowFactor = 1.0;
+  /** A request is given up after this. */
+  std::chrono::duration<double> m_timeout{ 1.2 };
+};
+
+/** What became of the requests. */
+struct FleetOutcome
+{
+  double m_inObjective = 0.0;
+  double m_refused = 0.0;
+  double m_mean = 0.0;
+  /** Requests of the busiest endpoint over the mean. */
+  double m_imbalance = 0.0;
+  std::size_t m_unused = 0;
+};
+
+/** Chooses as the gateway does. */
+struct DrawnChoice
+{
+  explicit DrawnChoice(std::uint32_t aSeed, std::size_t aDaemons)
+    : m_chooser(aSeed)
+  {
+    m_chooser.SetDaemons(aDaemons);
+  }
+
+  sapphirehook::EndpointLoad* operator()(
+    const std::vector<sapphirehook::EndpointLoad*>& aLoads,
+    sapphirehook::TimePoint aNow,
+    std::chrono::nanoseconds aTypical)
+  {
+    const auto cost = [&](const sapphirehook::EndpointLoad& aLoad)
+      -> std::optional<std::chrono::nanoseconds> {
+      if (!aLoad.HasRoom(aNow)) {
+        return std::nullopt;
+      }
+      return aLoad.ExpectedFinish(aNow, aTypical, m_chooser.OwnWeight());
+    };
+    return m_chooser.Choose<sapphirehook::EndpointLoad>({}, aLoads, cost);
+  }
+
+  sapphirehook::EndpointChooser m_chooser;
+};
+
+/** Always takes the endpoint that looks best, the first of equals. */
+struct BestChoice
+{
+  BestChoice(std::uint32_t /*aSeed*/, std::size_t /*aDaemons*/) {}
+
+  sapphirehook::EndpointLoad* operator()(
+    const std::vector<sapphirehook::EndpointLoad*>& aLoads,
+    sapphirehook::TimePoint aNow,
+    std::chrono::nanoseconds aTypical) const
+  {
+    sapphirehook::EndpointLoad* best = nullptr;
+    for (auto* load : aLoads) {
+      if (load->HasRoom(aNow) &&
+          (best == nullptr || load->ExpectedFinish(aNow, aTypical, 1.0) <
+                                best->ExpectedFinish(aNow, aTypical, 1.0))) {
+        best = load;
+      }
+    }
+    return best;
+  }
+};
+
+/** Any endpoint, whatever its load. */
+struct RandomChoice
+{
+  RandomChoice(std::uint32_t aSeed, std::size_t /*aDaemons*/)
+    : m_random(aSeed)
+  {
+  }
+
+  sapphirehook::EndpointLoad* operator()(
+    const std::vector<sapphirehook::EndpointLoad*>& aLoads,
+    sapphirehook::TimePoint /*aNow*/,
+    std::chrono::nanoseconds /*aTypical*/)
+  {
+    return aLoads[m_random() % aLoads.size()];
+  }
+
+  std::minstd_rand m_random;
+};
+
+/** Replays a load over a fleet of daemons in virtual time, each with a view of
+    the endpoints that is as old as the last telling. */
+template<typename Choice>
+class FleetReplay
+{
+public:
+  explicit FleetReplay(FleetLoad aLoad, unsigned aSeed)
+    : m_load(std::move(aLoad))
+    , m_random(aSeed)
+    , m_endpoints(m_load.m_endpoints)
+  {
+    for (std::size_t d = 0; d < m_load.m_daemons; ++d) {
+      m_daemons.push_back(std::make_unique<Daemon>(
+        static_cast<std::uint32_t>(7919 * (d + 1)), m_load));
+      Push(Draw() * m_load.m_beat.count(), { Event::Tell, d, 0 });
+    }
+    for (std::size_t e = 0; e < m_endpoints.size(); ++e) {
+      m_endpoints[e].m_speed = m_load.m_speeds[e % m_load.m_speeds.size()];
+    }
+    Arrive(0.0);
+  }
+
+  FleetOutcome Run()
+  {
+    while (!m_events.empty()) {
+      const Timed next = m_events.top();
+      m_events.pop();
+      m_now = next.m_at;
+      Handle(next.m_event);
+    }
+    return Outcome();
+  }
+
+private:
+  using Load = sapphirehook::EndpointLoad;
+  static constexpr std::size_t kSlots = 6;
+  static constexpr std::size_t kQueue = 24;
+  static constexpr double kRetryWait = 0.01;
+  static constexpr double kWaitPart = 0.5;
+
+  struct Event
+  {
+    enum Kind
+    {
+      Arrival,
+      Done,
+      Tell,
+      GiveUp,
+    };
+    Kind m_kind = Arrival;
+    std::size_t m_daemon = 0;
+    std::size_t m_request = 0;
+  };
+
+  struct Timed
+  {
+    double m_at = 0.0;
+    std::uint64_t m_number = 0;
+    Event m_event;
+    bool operator<(const Timed& aOther) const
+    {
+      return std::pair(m_at, m_number) >
+             std::pair(aOther.m_at, aOther.m_number);
+    }
+  };
+
+  struct Request
+  {
+    double m_arrivedAt = 0.0;
+    std::size_t m_daemon = 0;
+    double m_work = 0.0;
+    std::size_t m_endpoint = 0;
+    double m_sentAt = 0.0;
+    double m_turns = 1.0;
+    bool m_running = false;
+    bool m_ended = false;
+  };
+
+  struct Endpoint
+  {
+    double m_speed = 1.0;
+    std::size_t m_busy = 0;
+    std::deque<std::size_t> m_queue;
+    std::size_t m_got = 0;
+  };
+
+  struct Daemon
+  {
+    Daemon(std::uint32_t aSeed, const FleetLoad& aLoad)
+      : m_choice(aSeed, aLoad.m_daemons)
+    {
+      for (std::size_t e = 0; e < aLoad.m_endpoints; ++e) {
+        m_loads.push_back(std::make_unique<Load>(kSlots));
+        m_all.push_back(m_loads.back().get());
+      }
+    }
+
+    Choice m_choice;
+    std::vector<std::unique_ptr<Load>> m_loads;
+    std::vector<Load*> m_all;
+  };
+
+  double Draw() { return std::uniform_real_distribution<>(0.0, 1.0)(m_random); }
+
+  void Push(double aAt, Event aEvent)
+  {
+    m_events.push({ aAt, m_pushed++, aEvent });
+  }
+
+  [[nodiscard]] sapphirehook::TimePoint Now() const
+  {
+    return sapphirehook::TimePoint(
+      std::chrono::nanoseconds(static_cast<long long>((1.0 + m_now) * 1e9)));
+  }
+
+  /** Draws the next request, which arrives after a moment. */
+  void Arrive(double aAfter)
+  {
+    const double at =
+      aAfter - std::log(1.0 - Draw()) / m_load.m_requestsPerSecond;
+    if (at > m_load.m_length.count()) {
+      return;
+    }
+    std::normal_distribution<> normal;
+    double work =
+      m_load.m_work.count() * std::exp(m_load.m_spread * normal(m_random) -
+                                       m_load.m_spread * m_load.m_spread / 2.0);
+    work *= Draw() < m_load.m_longPart ? m_load.m_longFactor : 1.0;
+    Request request;
+    request.m_arrivedAt = at;
+    request.m_work = work;
+    request.m_daemon =
+      static_cast<std::size_t>(Draw() * static_cast<double>(m_load.m_daemons));
+    m_requests.push_back(request);
+    Push(at, { Event::Arrival, request.m_daemon, m_requests.size() - 1 });
+  }
+
+  void Handle(const Event& aEvent)
+  {
+    switch (aEvent.m_kind) {
+      case Event::Arrival:
+        if (m_requests[aEvent.m_request].m_arrivedAt == m_now) {
+          Arrive(m_now);
+        }
+        Place(aEvent.m_request);
+        break;
+      case Event::Done:
+        End(aEvent.m_request, true);
+        break;
+      case Event::GiveUp:
+        End(aEvent.m_request, false);
+        break;
+      case Event::Tell:
+        Tell(aEvent.m_daemon);
+        break;
+    }
+  }
+
+  void Place(std::size_t aRequest)
+  {
+    auto& request = m_requests[aRequest];
+    auto& daemon = *m_daemons[request.m_daemon];
+    auto* chosen = daemon.m_choice(
+      daemon.m_all,
+      Now(),
+      std::chrono::duration_cast<std::chrono::nanoseconds>(m_load.m_work));
+    if (chosen == nullptr) {
+      const double waited = m_now - request.m_arrivedAt;
+      if (waited < m_load.m_objective.count() * kWaitPart) {
+        Push(m_now + kRetryWait,
+             { Event::Arrival, request.m_daemon, aRequest });
+      } else {
+        ++m_refused;
+      }
+      return;
+    }
+    const auto at = std::find(daemon.m_all.begin(), daemon.m_all.end(), chosen);
+    request.m_endpoint = static_cast<std::size_t>(at - daemon.m_all.begin());
+    auto& endpoint = m_endpoints[request.m_endpoint];
+    ++endpoint.m_got;
+    if (endpoint.m_busy >= kSlots && endpoint.m_queue.size() >= kQueue) {
+      ++m_refused;
+      return;
+    }
+    request.m_sentAt = m_now;
+    request.m_turns = chosen->OnSent(Now());
+    Push(request.m_arrivedAt + m_load.m_timeout.count(),
+         { Event::GiveUp, request.m_daemon, aRequest });
+    if (endpoint.m_busy < kSlots) {
+      Start(aRequest);
+    } else {
+      endpoint.m_queue.push_back(aRequest);
+    }
+  }
+
+  void Start(std::size_t aRequest)
+  {
+    auto& request = m_requests[aRequest];
+    auto& endpoint = m_endpoints[request.m_endpoint];
+    ++endpoint.m_busy;
+    request.m_running = true;
+    const bool slow = request.m_endpoint < m_load.m_slowEndpoints &&
+                      m_now >= m_load.m_slowAt.count();
+    const double speed = endpoint.m_speed / (slow ? m_load.m_slowFactor : 1.0);
+    Push(m_now + request.m_work / speed,
+         { Event::Done, request.m_daemon, aRequest });
+  }
+
+  void End(std::size_t aRequest, bool aAnswered)
+  {
+    auto& request = m_requests[aRequest];
+    if (request.m_ended) {
+      return;
+    }
+    request.m_ended = true;
+    auto& load = *m_daemons[request.m_daemon]->m_loads[request.m_endpoint];
+    const auto took = std::chrono::nanoseconds(
+      static_cast<long long>((m_now - request.m_sentAt) * 1e9));
+    load.OnEnd(Now(),
+               aAnswered ? sapphirehook::AttemptEnd::Answered
+                         : sapphirehook::AttemptEnd::Abandoned,
+               took,
+               request.m_turns);
+    auto& endpoint = m_endpoints[request.m_endpoint];
+    if (!request.m_running) {
+      std::erase(endpoint.m_queue, aRequest);
+    } else {
+      --endpoint.m_busy;
+      if (!endpoint.m_queue.empty()) {
+        const auto next = endpoint.m_queue.front();
+        endpoint.m_queue.pop_front();
+        Start(next);
+      }
+    }
+    if (aAnswered) {
+      const double took_s = m_now - request.m_arrivedAt;
+      ++m_answered;
+      m_sum += took_s;
+      m_inObjective += took_s <= m_load.m_objective.count() ? 1 : 0;
+    }
+  }
+
+  void Tell(std::size_t aDaemon)
+  {
+    for (std::size_t e = 0; e < m_endpoints.size(); ++e) {
+      auto& own = *m_daemons[aDaemon]->m_loads[e];
+      const auto use = own.OwnUse(Now());
+      const auto answers = own.TakeAnswers();
+      for (std::size_t d = 0; d < m_daemons.size(); ++d) {
+        if (d != aDaemon) {
+          auto& load = *m_daemons[d]->m_loads[e];
+          load.OnPeer(Now(), std::to_string(aDaemon), use);
+          load.OnPeerAnswers(answers.m_count, answers.m_service);
+        }
+      }
+    }
+    if (m_now < m_load.m_length.count()) {
+      Push(m_now + m_load.m_beat.count(), { Event::Tell, aDaemon, 0 });
+    }
+  }
+
+  [[nodiscard]] FleetOutcome Outcome() const
+  {
+    FleetOutcome outcome;
+    const auto all = static_cast<double>(m_requests.size());
+    outcome.m_inObjective = static_cast<double>(m_inObjective) / all;
+    outcome.m_refused = static_cast<double>(m_refused) / all;
+    outcome.m_mean = m_sum / std::max(1.0, static_cast<double>(m_answered));
+    std::size_t most = 0;
+    for (const auto& endpoint : m_endpoints) {
+      most = std::max(most, endpoint.m_got);
+      outcome.m_unused += endpoint.m_got == 0 ? 1 : 0;
+    }
+    outcome.m_imbalance =
+      static_cast<double>(most) * static_cast<double>(m_endpoints.size()) / all;
+    return outcome;
+  }
+
+  FleetLoad m_load;
+  std::mt19937 m_random;
+  double m_now = 0.0;
+  std::uint64_t m_pushed = 0;
+  std::priority_queue<Timed> m_events;
+  std::vector<Request> m_requests;
+  std::vector<Endpoint> m_endpoints;
+  std::vector<std::unique_ptr<Daemon>> m_daemons;
+  std::size_t m_refused = 0;
+  std::size_t m_answered = 0;
+  std::size_t m_inObjective = 0;
+  double m_sum = 0.0;
+};
+
+} // namespace support
+
+#endif
