Records are passed on in compressed batches; heirs read when the leader cannot

Configurations are larger than a datagram, so 60 daemons read each by themselves; in outages all daemons called twice a second for each topic; each append of the leader ended its own long poll. Change: a read's records go out as one compressed batch in parts; while the leader is without the store its heirs read and pass on, and all daemons only when nobody does, with pauses of up to 3 s; a daemon that starts in a large fleet waits for the leader; the leader gathers changes for 60 ms and takes appends as proofs.

--- a/src/sapphirehook/core/backoff.hpp
+++ b/src/sapphirehook/core/backoff.hpp
@@ -31,6 +31,9 @@
     return wait;
   }
 
+  /** Changes the limit of waits. */
+  void SetLongest(Millis aLongest) noexcept { m_longest = aLongest; }
+
   /** Starts over after a success. */
   void Reset() noexcept { m_next = m_first; }
 
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -86,38 +86,11 @@
                  std::to_string(m_settings.m_peers.m_port),
                [this](const std::string& aHost, const sockaddr_in& aAddress) {
                  m_gossip.AddPeer(aHost, aAddress);
+                 OnHostFound();
                })
-  , m_configReader(m_loop,
-                   m_protocol.m_store,
-                   ToSocketAddress(m_settings.m_store),
-                   m_protocol.m_configTopic,
-                   kReads,
-                   TopicEvents{ [this](const KeyedRecord& aRecord) {
-                                 RelayRecord(m_protocol.m_configTopic, aRecord);
-                                 OnConfig(aRecord);
-                               },
-                                [this](Offset, TimePoint) {
-                                  OnStoreWorks(m_protocol.m_configTopic);
-                                },
-                                [this](StoreAnswer aAnswer) {
-                                  OnStoreTrouble(m_protocol.m_configTopic,
-                                                 aAnswer);
-                                } })
+  , m_configReader(MakeReader(m_protocol.m_configTopic, &Gateway::OnConfig))
   , m_endpointReader(
-      m_loop,
-      m_protocol.m_store,
-      ToSocketAddress(m_settings.m_store),
-      m_protocol.m_endpointTopic,
-      kReads,
-      TopicEvents{
-        [this](const KeyedRecord& aRecord) {
-          RelayRecord(m_protocol.m_endpointTopic, aRecord);
-          OnEndpoint(aRecord);
-        },
-        [this](Offset, TimePoint) { OnStoreWorks(m_protocol.m_endpointTopic); },
-        [this](StoreAnswer aAnswer) {
-          OnStoreTrouble(m_protocol.m_endpointTopic, aAnswer);
-        } })
+      MakeReader(m_protocol.m_endpointTopic, &Gateway::OnEndpoint))
   , m_callers(m_loop, [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
   , m_ready(m_loop,
             [this](const std::string& aTarget) {
@@ -139,6 +112,29 @@
   };
 }
 
+TopicReader
+Gateway::MakeReader(const std::string& aTopic,
+                    void (Gateway::*aOnRecord)(const KeyedRecord&))
+{
+  return {
+    m_loop,
+    m_protocol.m_store,
+    ToSocketAddress(m_settings.m_store),
+    aTopic,
+    kReads,
+    TopicEvents{
+      [this, aOnRecord](const KeyedRecord& aRecord) {
+        (this->*aOnRecord)(aRecord);
+      },
+      [this, aTopic](
+        Offset aFrom, Offset aNext, const std::vector<KeyedRecord>& aRecords) {
+        RelayBatch({ aTopic, aFrom, aNext, aRecords });
+      },
+      [this, aTopic](Offset, TimePoint) { OnStoreWorks(aTopic); },
+      [this, aTopic](StoreAnswer aAnswer) { OnStoreTrouble(aTopic, aAnswer); } }
+  };
+}
+
 absl::Status
 Gateway::Open()
 {
@@ -190,6 +186,18 @@
          m_endpointReader.IsCaughtUp() && m_ownership.KnowsMaps();
 }
 
+/** A daemon that starts in a large fleet is told of records by the leader, once
+    it has heard from it. */
+void
+Gateway::OnHostFound()
+{
+  if (m_daemons <= kSmallFleet && m_gossip.Peers().size() >= kSmallFleet &&
+      m_relayHeardAt == TimePoint{}) {
+    m_daemons = m_gossip.Peers().size() + 1;
+    m_relayHeardAt = BootClock::now();
+  }
+}
+
 void
 Gateway::OnConfig(const KeyedRecord& aRecord)
 {
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -32,6 +32,7 @@
   [[nodiscard]] EventLoop& Loop() noexcept { return m_loop; }
 
 private:
+  void OnHostFound();
   void OnConfig(const KeyedRecord& aRecord);
   void OnEndpoint(const KeyedRecord& aRecord);
   void OnEndpointsChanged();
@@ -41,9 +42,12 @@
   void TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void SendBeat();
   void CompareEnds(const Beat& aBeat);
-  void RelayRecord(const std::string& aTopic, const KeyedRecord& aRecord);
-  void OnRelay(const TopicRelay& aRelay);
-  void ChooseReaders(const std::optional<HostId>& aLeader);
+  TopicReader MakeReader(const std::string& aTopic,
+                         void (Gateway::*aOnRecord)(const KeyedRecord&));
+  void RelayBatch(const TopicBatch& aBatch);
+  void OnRelay(const HostId& aFrom, const TopicRelay& aRelay);
+  void ChooseReaders(TimePoint aNow);
+  [[nodiscard]] bool RelaysBatches(TimePoint aNow) const;
   void OnStopTick();
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool IsLargeFleet() const noexcept;
@@ -78,8 +82,11 @@
   bool m_endpointsQueued = false;
   bool m_stopping = false;
   TimePoint m_stopBegan{};
-  /** Whether the leader last said that it reaches the store. */
-  bool m_leaderReads = false;
+  BatchAssembler m_batches;
+  /** When a daemon that passes records on was last heard of, and the leader as
+      one that does. */
+  TimePoint m_relayHeardAt{};
+  TimePoint m_leaderRelaysAt{};
   /** Since when a peer has been ahead of this daemon in a topic. */
   std::map<std::string, TimePoint> m_behindSince;
 };
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -22,8 +22,12 @@
 constexpr Millis kProbeAfter{ 1000 };
 /** A daemon this long behind its peers in a topic reads anew. */
 constexpr Millis kBehindFor{ 300 };
-/** Largest record, in bytes, that is passed on in a datagram. */
-constexpr std::size_t kMaxRelayed = 1100;
+/** Heirs read the topics themselves once the leader has not passed records on
+    for this long, and all daemons once nobody has. */
+constexpr Millis kLeaderMissing{ 600 };
+constexpr Millis kRelayMissing{ 1200 };
+/** Longest pause of a daemon of a large fleet that the store does not serve. */
+constexpr Millis kLongPauseInLargeFleet{ 3000 };
 /** Pause after records in a large fleet, where each change is a call for each
     daemon. */
 constexpr Millis kGatherInLargeFleet{ 400 };
@@ -38,7 +42,8 @@
     TakeUse(now, aFrom, *beat);
     if (!beat->m_storeWorks) {
       m_peerTroubleAt = now;
-      if (beat->m_leads && now >= m_storeProvenAt + kProbeAfter &&
+      const bool asks = !IsLargeFleet() || m_ownership.IsHeir();
+      if (asks && beat->m_leads && now >= m_storeProvenAt + kProbeAfter &&
           now >= m_probedAt + kProbeAfter) {
         // The leader asks itself whether another should lead.
         m_probedAt = now;
@@ -48,7 +53,7 @@
     CompareEnds(*beat);
   }
   if (const auto* relay = std::get_if<TopicRelay>(&aMessage)) {
-    OnRelay(*relay);
+    OnRelay(aFrom, *relay);
   }
   m_ownership.OnMessage(aFrom, aMessage);
   if (std::holds_alternative<Beat>(aMessage)) {
@@ -63,8 +68,9 @@
 {
   if (aBeat.m_leads && aBeat.m_daemons > 0) {
     m_daemons = aBeat.m_daemons;
-    m_leaderReads = aBeat.m_storeWorks;
+    m_leaderRelaysAt = aBeat.m_relays ? aNow : m_leaderRelaysAt;
   }
+  m_relayHeardAt = aBeat.m_relays ? aNow : m_relayHeardAt;
   if (IsLargeFleet() && aBeat.m_leads) {
     m_engine.OnFleetUse(aNow, aBeat.m_totals);
   } else if (!IsLargeFleet() || m_ownership.Leads()) {
@@ -92,8 +98,8 @@
       }
       continue;
     }
-    // What the leader has read and not passed on is read at once.
-    const bool missed = reader->IsPaused() && aBeat.m_leads;
+    // What was passed on and did not arrive is read at once.
+    const bool missed = reader->IsPaused() && aBeat.m_relays;
     if (since == TimePoint{} && !missed) {
       since = now;
     } else if (missed || now >= since + kBehindFor) {
@@ -123,6 +129,7 @@
   beat.m_ends[m_protocol.m_configTopic] = m_configReader.End();
   beat.m_ends[m_protocol.m_endpointTopic] = m_endpointReader.End();
   beat.m_storeWorks = m_storeWorks;
+  beat.m_relays = m_storeWorks && RelaysBatches(now);
   beat.m_storeProofAgeMs =
     std::chrono::duration_cast<Millis>(now - m_storeProvenAt).count();
   m_ownership.FillBeat(beat);
@@ -131,7 +138,7 @@
     beat.m_uses.clear();
     beat.m_totals = m_engine.Totals(now);
   }
-  if (IsLargeFleet() && leader && !beat.m_leads) {
+  if (IsLargeFleet() && leader && !beat.m_leads && !beat.m_relays) {
     m_gossip.SendTo(leader->m_host, beat);
     beat.m_uses.clear();
     m_gossip.SendNext(beat);
@@ -143,24 +150,29 @@
     m_daemons = m_gossip.AliveDaemons(now);
   }
   m_engine.SetDaemons(m_daemons);
-  auto times = m_ownership.Leads() ? kLeaderReads : kReads;
-  if (IsLargeFleet()) {
-    times.m_gather = kGatherInLargeFleet;
-  }
-  m_configReader.SetTimes(times);
-  m_endpointReader.SetTimes(times);
-  ChooseReaders(leader);
+  ChooseReaders(now);
   m_log.Flush();
 }
 
-/** In a large fleet the leader alone waits for records and passes them on; the
-    others follow the store themselves when it is silent or cut off. */
+/** In a large fleet the leader alone waits for records and passes them on.
+   While it does not reach the store its heirs do so, and once none is heard of
+   that does, each daemon follows the store itself. */
 void
-Gateway::ChooseReaders(const std::optional<HostId>& aLeader)
+Gateway::ChooseReaders(TimePoint aNow)
 {
-  const bool relayed = IsLargeFleet() && aLeader &&
-                       aLeader->m_host != m_settings.m_host && m_leaderReads;
+  ReaderTimes times = m_ownership.Leads() ? kLeaderReads : kReads;
+  if (IsLargeFleet()) {
+    times.m_gather = kGatherInLargeFleet;
+    if (!m_ownership.Leads() && !m_ownership.IsHeir()) {
+      times.m_longestPause = kLongPauseInLargeFleet;
+    }
+  }
+  const bool heirReads =
+    m_ownership.IsHeir() && aNow >= m_leaderRelaysAt + kLeaderMissing;
+  const bool relayed = IsLargeFleet() && !m_ownership.Leads() && !heirReads &&
+                       aNow < m_relayHeardAt + kRelayMissing;
   for (auto* reader : { &m_configReader, &m_endpointReader }) {
+    reader->SetTimes(times);
     if (relayed) {
       reader->Pause();
     } else {
@@ -169,35 +181,39 @@
   }
 }
 
+bool
+Gateway::RelaysBatches(TimePoint aNow) const
+{
+  return IsLargeFleet() &&
+         (m_ownership.Leads() ||
+          (m_ownership.IsHeir() && aNow >= m_leaderRelaysAt + kLeaderMissing));
+}
+
 void
-Gateway::RelayRecord(const std::string& aTopic, const KeyedRecord& aRecord)
+Gateway::RelayBatch(const TopicBatch& aBatch)
 {
-  if (!IsLargeFleet() || !m_ownership.Leads() ||
-      aRecord.m_value.value_or("").size() > kMaxRelayed) {
-    return; // what is not passed on is read by each daemon itself
+  const TimePoint now = BootClock::now();
+  if (!RelaysBatches(now)) {
+    return;
+  }
+  // What is too large to be passed on is read by each daemon itself.
+  for (const auto& relay : SplitBatch(aBatch)) {
+    m_gossip.SendAll(now, relay);
   }
-  TopicRelay relay{ aTopic, aRecord.m_offset, {} };
-  relay.m_records.push_back({ aRecord.m_key,
-                              aRecord.m_value.has_value(),
-                              aRecord.m_value.value_or("") });
-  m_gossip.SendAll(BootClock::now(), relay);
 }
 
 void
-Gateway::OnRelay(const TopicRelay& aRelay)
+Gateway::OnRelay(const HostId& aFrom, const TopicRelay& aRelay)
 {
-  std::vector<KeyedRecord> records;
-  Offset offset = aRelay.m_first;
-  for (const auto& record : aRelay.m_records) {
-    KeyedRecord one{ offset++, record.m_key, std::nullopt };
-    if (record.m_hasValue) {
-      one.m_value = record.m_value;
-    }
-    records.push_back(std::move(one));
+  const auto batch = m_batches.Add(aFrom.m_host, aRelay);
+  if (!batch) {
+    return;
   }
-  auto& reader = aRelay.m_topic == m_protocol.m_configTopic ? m_configReader
+  auto& reader = batch->m_topic == m_protocol.m_configTopic ? m_configReader
                                                             : m_endpointReader;
-  reader.Accept(records);
+  // What does not follow on this daemon's records it reads from the store.
+  static_cast<void>(
+    reader.Accept(batch->m_from, batch->m_next, batch->m_records));
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -17,7 +17,7 @@
 /** How often the load of ranges is looked at. */
 constexpr Millis kPlanEvery{ 200 };
 /** A leader's reads wait this long, since each proves its term anew. */
-constexpr ReaderTimes kLeaderReads{ Millis(1000), Millis(0) };
+constexpr ReaderTimes kLeaderReads{ Millis(1000), Millis(300) };
 /** A follower asks for a map at most this often. */
 constexpr Millis kAskEvery{ 60 };
 /** Time between two tries to claim. */
@@ -230,6 +230,7 @@
     kLeaderReads,
     TopicEvents{
       [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
+      nullptr,
       [this](Offset, TimePoint aProvenAt) { m_leadership.OnProof(aProvenAt); },
       [](StoreAnswer) {} });
   m_reader->Start();
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -78,6 +78,9 @@
     return m_leadership.Leader(aNow);
   }
 
+  /** Whether the leader has named this daemon to claim after it. */
+  [[nodiscard]] bool IsHeir() const noexcept { return m_leadership.IsHeir(); }
+
   /** Whether this daemon knows where the keys of all keyed services are. */
   [[nodiscard]] bool KnowsMaps() const;
 
@@ -176,6 +179,9 @@
   std::uint64_t m_sequence = 0;
   std::vector<KeyedRecord> m_appending;
   bool m_appendBusy = false;
+  /** When the last append was sent, and when the last one had ended. */
+  TimePoint m_appendSentAt{};
+  TimePoint m_appendedAt{};
 
   std::map<std::string, Followed> m_followed;
   /** When the first endpoint of a service was seen. */
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+/** Time between two stores of changes, which gathers moves into few calls. */
+constexpr Millis kStoreEvery{ 60 };
 /** Wait before a store call that was turned away is made again. */
 constexpr Millis kStoreRetry{ 120 };
 /** Ranges for each endpoint at the start, so that its keys lie apart; fewer
@@ -270,8 +272,9 @@
 void
 Ownership::StoreChanges()
 {
-  if (m_appendBusy) {
-    return;
+  const TimePoint now = BootClock::now();
+  if (m_appendBusy || now < m_appendedAt + kStoreEvery) {
+    return; // the next round stores what has gathered
   }
   for (auto& [name, led] : m_led) {
     if (!led.m_keeper.HasToStore()) {
@@ -289,8 +292,8 @@
   }
   m_appendBusy = true;
   ++m_sequence;
-  const auto earlier = std::chrono::duration_cast<Millis>(
-    m_leadership.ForeignGrantsEnd() - BootClock::now());
+  const auto earlier =
+    std::chrono::duration_cast<Millis>(m_leadership.ForeignGrantsEnd() - now);
   m_appending.push_back(
     { 0,
       kLeaderKey,
@@ -307,6 +310,7 @@
   if (!m_leadership.Leads() || m_writer.IsBusy()) {
     return;
   }
+  m_appendSentAt = BootClock::now();
   m_writer.Call(m_protocol.m_store.m_append(kTopic, m_end, m_appending),
                 kStoreTimeout,
                 [this](const CallResult& aResult) {
@@ -382,6 +386,9 @@
 {
   const TimePoint now = BootClock::now();
   m_end = aEnd;
+  // The store would have refused it, had another daemon claimed before.
+  m_leadership.OnProof(m_appendSentAt);
+  m_appendedAt = now;
   m_appending.clear();
   m_appendBusy = false;
   for (auto& [name, led] : m_led) {
--- a/src/sapphirehook/gossip/fwd.hpp
+++ b/src/sapphirehook/gossip/fwd.hpp
@@ -11,7 +11,9 @@
 struct RouteRequest;
 struct RoutePage;
 struct Resignation;
+struct TopicBatch;
 struct TopicRelay;
+class BatchAssembler;
 class Gossip;
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -3,6 +3,7 @@
 
 #include "sapphirehook/core/message_pack.hpp"
 #include "sapphirehook/gateway/request_engine.hpp"
+#include "sapphirehook/gossip/topic_batch.hpp"
 #include "sapphirehook/keys/range_map.hpp"
 
 #include <map>
@@ -21,6 +22,8 @@
   bool m_leads = false;
   /** The sender reaches the store. */
   bool m_storeWorks = false;
+  /** It reads the topics that all follow, and passes records on. */
+  bool m_relays = false;
   /** Time since the store last answered it, in milliseconds. */
   std::int64_t m_storeProofAgeMs = 0;
   /** The last leader that stepped down in an orderly way, and when its grants
@@ -44,6 +47,7 @@
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
                        m_storeWorks,
+                       m_relays,
                        m_storeProofAgeMs,
                        m_resignedTerm,
                        m_resignedEndsInMs,
@@ -97,26 +101,6 @@
   MSGPACK_DEFINE_ARRAY(m_service, m_version, m_page, m_pages, m_routes)
 };
 
-/** Records of a followed topic, passed on by the leader in a large fleet. */
-struct TopicRelay
-{
-  struct Record
-  {
-    std::string m_key;
-    bool m_hasValue = false;
-    std::string m_value;
-
-    MSGPACK_DEFINE_ARRAY(m_key, m_hasValue, m_value)
-  };
-
-  std::string m_topic;
-  /** Offset of the first record; the others follow on it. */
-  Offset m_first = 0;
-  std::vector<Record> m_records;
-
-  MSGPACK_DEFINE_ARRAY(m_topic, m_first, m_records)
-};
-
 /** A leader that steps down in an orderly way. */
 struct Resignation
 {
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/core/ids.hpp"
 #include "sapphirehook/core/time.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -89,6 +90,13 @@
     m_heirs = std::move(aHeirs);
   }
 
+  /** Whether the leader has named this daemon to claim after it. */
+  [[nodiscard]] bool IsHeir() const noexcept
+  {
+    return std::find(m_heirs.begin(), m_heirs.end(), m_self.m_host) !=
+           m_heirs.end();
+  }
+
   /** A leader has stepped down; its grants end by a time. */
   void OnResigned(TimePoint aNow,
                   const HostId& aFrom,
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -12,9 +12,8 @@
 /** A call that waits for a record is given up this long after its wait; a slow
     store has been seen to take 0.3 s. */
 constexpr Millis kAnswerSlack{ 800 };
-/** First and longest pause after a call that was not served. */
+/** First pause after a call that was not served. */
 constexpr Millis kFirstPause{ 100 };
-constexpr Millis kLongestPause{ 500 };
 
 unsigned
 SeedOf(const std::string& aTopic, const void* aReader)
@@ -25,6 +24,23 @@
     static_cast<std::uint64_t>(BootClock::now().time_since_epoch().count()));
 }
 
+/** Returns the last record of each key; those before it are out of date. */
+std::vector<KeyedRecord>
+NewestOfEachKey(const std::vector<KeyedRecord>& aRecords)
+{
+  std::map<std::string, Offset> last;
+  for (const auto& record : aRecords) {
+    last[record.m_key] = record.m_offset;
+  }
+  std::vector<KeyedRecord> newest;
+  for (const auto& record : aRecords) {
+    if (last[record.m_key] == record.m_offset) {
+      newest.push_back(record);
+    }
+  }
+  return newest;
+}
+
 } // namespace
 
 TopicReader::TopicReader(EventLoop& aLoop,
@@ -46,7 +62,7 @@
                 ReadOn();
               }
             })
-  , m_backoff(kFirstPause, kLongestPause, SeedOf(m_topic, this))
+  , m_backoff(kFirstPause, m_times.m_longestPause, SeedOf(m_topic, this))
 {
 }
 
@@ -102,30 +118,20 @@
 }
 
 bool
-TopicReader::Accept(const std::vector<KeyedRecord>& aRecords)
+TopicReader::Accept(Offset aFrom,
+                    Offset aNext,
+                    const std::vector<KeyedRecord>& aRecords)
 {
-  if (!m_paused || aRecords.empty() || m_client.IsBusy() ||
-      aRecords.front().m_offset != m_from) {
+  if (!m_paused || m_client.IsBusy() || m_from < aFrom || m_from >= aNext) {
     return false;
   }
-  GiveNewest(aRecords);
-  return true;
-}
-
-/** Gives the last record of each key; those before it are out of date. */
-void
-TopicReader::GiveNewest(const std::vector<KeyedRecord>& aRecords)
-{
-  std::map<std::string, Offset> newest;
+  const Offset known = std::exchange(m_from, aNext);
   for (const auto& record : aRecords) {
-    newest[record.m_key] = record.m_offset;
-  }
-  for (const auto& record : aRecords) {
-    m_from = record.m_offset + 1;
-    if (newest[record.m_key] == record.m_offset) {
+    if (record.m_offset >= known) {
       Give(record);
     }
   }
+  return true;
 }
 
 void
@@ -189,7 +195,7 @@
   m_caughtUp = true;
   m_backoff.Reset();
   m_events.m_onCaughtUp(m_from, m_newestAskedAt);
-  Next(Millis(0));
+  Next(m_times.m_gather);
 }
 
 void
@@ -220,7 +226,17 @@
     return;
   }
   m_backoff.Reset();
-  GiveNewest(aPage.m_records);
+  if (!aPage.m_records.empty()) {
+    const Offset from =
+      std::exchange(m_from, aPage.m_records.back().m_offset + 1);
+    const auto newest = NewestOfEachKey(aPage.m_records);
+    for (const auto& record : newest) {
+      Give(record);
+    }
+    if (m_events.m_onBatch) {
+      m_events.m_onBatch(from, m_from, newest);
+    }
+  }
   if (m_from >= aPage.m_end) {
     m_events.m_onCaughtUp(m_from, aAskedAt);
   }
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -16,6 +16,11 @@
 {
   /** A key has a new value, or none any more. */
   std::function<void(const KeyedRecord&)> m_onRecord;
+  /** A read has brought all records between two offsets; of each key the newest
+      is given. Optional. */
+  std::function<
+    void(Offset aFrom, Offset aNext, const std::vector<KeyedRecord>& aRecords)>
+    m_onBatch;
   /** All records up to an offset have been given. aProvenAt is the moment at
       which the topic certainly ended there. */
   std::function<void(Offset aEnd, TimePoint aProvenAt)> m_onCaughtUp;
@@ -30,6 +35,8 @@
   Millis m_wait{};
   /** Pause after records have come, which gathers those that follow. */
   Millis m_gather{};
+  /** Longest pause after calls that were not served. */
+  Millis m_longestPause{ 500 };
 };
 
 /** Follows one keyed topic: the newest record of each key first, then each
@@ -63,12 +70,19 @@
   /** Follows the topic by itself again. */
   void Resume();
 
-  /** Takes records that another daemon has read and passed on. Returns false
-      when they do not follow on what has been given. */
-  bool Accept(const std::vector<KeyedRecord>& aRecords);
+  /** Takes the records between two offsets, which another daemon has read and
+      passed on. Returns false when they do not follow on what has been given,
+      or a call of its own is under way. */
+  bool Accept(Offset aFrom,
+              Offset aNext,
+              const std::vector<KeyedRecord>& aRecords);
 
   /** Changes the spacing of calls from the next one on. */
-  void SetTimes(ReaderTimes aTimes) noexcept { m_times = aTimes; }
+  void SetTimes(ReaderTimes aTimes) noexcept
+  {
+    m_times = aTimes;
+    m_backoff.SetLongest(aTimes.m_longestPause);
+  }
 
   [[nodiscard]] bool IsPaused() const noexcept { return m_paused; }
 
@@ -83,7 +97,6 @@
   void OnNewest(const KeyedPage& aPage);
   void ReadOn();
   void OnRead(const KeyedPage& aPage, TimePoint aAskedAt);
-  void GiveNewest(const std::vector<KeyedRecord>& aRecords);
   void Give(const KeyedRecord& aRecord);
   void FinishNewest();
   void OnFault(StoreAnswer aAnswer);
