Leaders stay until another can claim; larger hosts first; grants paced

Ruled out: relays (records arrived), the endpoints (they answered 421 at once). Change: a stopped leader steps down only when another could claim, or at its end; registered hosts tell their processor, and a daemon that has just started leaves the turn to larger ones; 40 grants a round; paused daemons probe the store. Tests for these, for batches, and for a reader that is told.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -82,10 +82,10 @@
                m_protocol.m_store,
                ToSocketAddress(m_settings.m_store),
                m_settings.m_host,
-               m_settings.m_peers.m_host + ":" +
-                 std::to_string(m_settings.m_peers.m_port),
-               [this](const std::string& aHost, const sockaddr_in& aAddress) {
-                 m_gossip.AddPeer(aHost, aAddress);
+               { m_settings.m_peers, m_settings.m_processorShare },
+               [this](const std::string& aHost, const HostEntry& aEntry) {
+                 m_gossip.AddPeer(aHost, ToSocketAddress(aEntry.m_peers));
+                 m_ownership.OnHost(aHost, aEntry.m_processorShare);
                  OnHostFound();
                })
   , m_configReader(MakeReader(m_protocol.m_configTopic, &Gateway::OnConfig))
@@ -333,8 +333,7 @@
   m_stopping = true;
   m_stopBegan = BootClock::now();
   m_log.Write(LogLine("stopping").Add("unanswered", m_engine.Unanswered()));
-  m_ownership.StopClaiming();
-  m_ownership.Resign();
+  m_ownership.BeginStop();
   m_engine.BeginStop();
   SendBeat();
   m_stopTimer.StartEvery(kStopTick);
@@ -349,8 +348,9 @@
   }
   m_callers.Close();
   m_engine.CloseIdleCallers();
-  if (m_engine.Unanswered() == 0 ||
-      passed >= m_settings.m_stopGrace - kStopMargin) {
+  const bool idle = m_engine.Unanswered() == 0 && !m_ownership.Leads();
+  if (idle || passed >= m_settings.m_stopGrace - kStopMargin) {
+    m_ownership.Resign();
     m_loop.Stop();
   }
 }
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -26,6 +26,9 @@
     for this long, and all daemons once nobody has. */
 constexpr Millis kLeaderMissing{ 600 };
 constexpr Millis kRelayMissing{ 1200 };
+/** A daemon that does not read by itself, and was not served when it last did,
+    makes a call this often. */
+constexpr Millis kProbePausedEvery{ 2000 };
 /** Longest pause of a daemon of a large fleet that the store does not serve. */
 constexpr Millis kLongPauseInLargeFleet{ 3000 };
 /** Pause after records in a large fleet, where each change is a call for each
@@ -179,6 +182,11 @@
       reader->Resume();
     }
   }
+  // Whoever may lead has to know whether it reaches the store.
+  if (relayed && !m_storeWorks && aNow >= m_probedAt + kProbePausedEvery) {
+    m_probedAt = aNow;
+    m_endpointReader.Refresh();
+  }
 }
 
 bool
--- a/src/sapphirehook/gateway/host_registry.cpp
+++ b/src/sapphirehook/gateway/host_registry.cpp
@@ -1,8 +1,8 @@
 #include "sapphirehook/gateway/host_registry.hpp"
 
-#include "sapphirehook/core/address.hpp"
 #include "sapphirehook/core/hash.hpp"
 
+#include <cstdlib>
 #include <utility>
 
 namespace sapphirehook {
@@ -16,15 +16,43 @@
 
 } // namespace
 
+std::string
+SerializeHostEntry(const HostEntry& aEntry)
+{
+  return aEntry.m_peers.m_host + ":" + std::to_string(aEntry.m_peers.m_port) +
+         " " + std::to_string(aEntry.m_processorShare);
+}
+
+absl::StatusOr<HostEntry>
+ParseHostEntry(const std::string& aText)
+{
+  const auto space = aText.find(' ');
+  const auto address = ParseAddress(aText.substr(0, space));
+  if (!address.ok()) {
+    return address.status();
+  }
+  HostEntry entry{ *address, 0.0 };
+  if (space != std::string::npos) {
+    const char* begin = aText.c_str() + space + 1;
+    char* end = nullptr;
+    entry.m_processorShare = std::strtod(begin, &end);
+    if (end == begin || *end != '\0') {
+      return absl::InvalidArgumentError("no number of cores in \"" + aText +
+                                        "\"");
+    }
+  }
+  return entry;
+}
+
 HostRegistry::HostRegistry(EventLoop& aLoop,
                            const StoreProtocol& aProtocol,
                            sockaddr_in aStore,
                            std::string aHost,
-                           std::string aAddress,
+                           const HostEntry& aEntry,
                            Handler aOnHost)
   : m_protocol(aProtocol)
   , m_host(std::move(aHost))
-  , m_address(std::move(aAddress))
+  , m_entry(SerializeHostEntry(aEntry))
   , m_onHost(std::move(aOnHost))
   , m_client(aLoop, aStore)
   , m_timer(aLoop, [this] { Read(); })
@@ -65,11 +93,11 @@
   }
   for (const auto& record : aPage.m_records) {
     m_after = record.m_key;
-    const auto address = ParseAddress(record.m_value.value_or(""));
+    const auto entry = ParseHostEntry(record.m_value.value_or(""));
     if (record.m_key == m_host) {
-      m_registered = m_registered || record.m_value == m_address;
-    } else if (address.ok()) {
-      m_onHost(record.m_key, ToSocketAddress(*address));
+      m_registered = m_registered || record.m_value == m_entry;
+    } else if (entry.ok()) {
+      m_onHost(record.m_key, *entry);
     }
   }
   if (aPage.m_hasMore && !aPage.m_records.empty()) {
@@ -87,7 +115,7 @@
 HostRegistry::Register()
 {
   m_client.Call(
-    m_protocol.m_append(kTopic, std::nullopt, { { 0, m_host, m_address } }),
+    m_protocol.m_append(kTopic, std::nullopt, { { 0, m_host, m_entry } }),
     kCallTimeout,
     [this](const CallResult& aResult) {
       m_after.clear();
--- a/src/sapphirehook/gateway/host_registry.hpp
+++ b/src/sapphirehook/gateway/host_registry.hpp
@@ -1,14 +1,33 @@
 #ifndef SAPPHIREHOOK_GATEWAY_HOST_REGISTRY_HPP
 #define SAPPHIREHOOK_GATEWAY_HOST_REGISTRY_HPP
 
+#include "sapphirehook/core/address.hpp"
 #include "sapphirehook/core/backoff.hpp"
 #include "sapphirehook/store/store_protocol.hpp"
 
+#include <absl/status/statusor.h>
 #include <functional>
 #include <string>
 
 namespace sapphirehook {
 
+/** What a host registers of itself. */
+struct HostEntry
+{
+  /** Where its daemon takes datagrams. */
+  Address m_peers;
+  /** Part of a core that its daemon may use. */
+  double m_processorShare = 0.0;
+};
+
+/** Returns the stored form of an entry. */
+[[nodiscard]] std::string
+SerializeHostEntry(const HostEntry& aEntry);
+
+/** Parses the stored form of an entry. */
+[[nodiscard]] absl::StatusOr<HostEntry>
+ParseHostEntry(const std::string& aText);
+
 /** Finds the other daemons at the start: each keeps its peers' address in a
     topic of the store. A daemon that starts reads all of them; those that run
     learn of it from its first message. */
@@ -16,13 +35,13 @@
 {
 public:
   using Handler =
-    std::function<void(const std::string& aHost, const sockaddr_in& aAddress)>;
+    std::function<void(const std::string& aHost, const HostEntry& aEntry)>;
 
   HostRegistry(EventLoop& aLoop,
                const StoreProtocol& aProtocol,
                sockaddr_in aStore,
                std::string aHost,
-               std::string aAddress,
+               const HostEntry& aEntry,
                Handler aOnHost);
 
   void Start();
@@ -38,7 +57,7 @@
 
   const StoreProtocol& m_protocol;
   std::string m_host;
-  std::string m_address;
+  std::string m_entry;
   Handler m_onHost;
   HttpClient m_client;
   Timer m_timer;
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -106,7 +106,8 @@
     m_leadership.OnPause(now);
   }
   if (m_leadership.Leads()) {
-    if (m_leadership.ShouldResign(now)) {
+    if (m_leadership.ShouldResign(now) ||
+        (m_stopping && m_leadership.CanHandOver(now))) {
       Resign();
       return;
     }
@@ -257,6 +258,13 @@
   }
 }
 
+void
+Ownership::BeginStop()
+{
+  m_stopping = true;
+  TickSoon();
+}
+
 void
 Ownership::Resign()
 {
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -64,8 +64,15 @@
   /** Steps down, so that another daemon can take over at once. */
   void Resign();
 
-  /** From now on this daemon never claims. */
-  void StopClaiming() noexcept { m_stopping = true; }
+  /** From now on this daemon never claims, and steps down as soon as another
+      can take over. */
+  void BeginStop();
+
+  /** A host is registered. */
+  void OnHost(const std::string& aHost, double aProcessorShare)
+  {
+    m_leadership.OnHost(aHost, aProcessorShare);
+  }
 
   /** Called when this daemon begins to lead. */
   std::function<void()> m_onLeads;
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -27,6 +27,9 @@
 /** Time between two looks at all ranges and endpoints; in between only what
     has changed is looked at. */
 constexpr Millis kTickAllEvery{ 100 };
+/** The same while grants are left over, so that other events come in between.
+ */
+constexpr Millis kTickMoreEvery{ 40 };
 /** Terms are this far apart in fences: more than a term's changes. */
 constexpr unsigned kFenceTermBits = 22;
 /** Ranges beyond which no more are moved. */
@@ -175,6 +178,9 @@
     if (all) {
       led.m_keeper.SetEndpoints(KeeperEndpoints(now, name));
       CarryOut(now, name, led, led.m_keeper.Tick(now));
+      if (led.m_keeper.HasMoreGrants()) {
+        m_tickAllAt = now + kTickMoreEvery;
+      }
     } else {
       CarryOut(now, name, led, led.m_keeper.TickChanged(now));
     }
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -17,6 +17,11 @@
 constexpr Millis kResignAfter{ 2500 };
 /** Another daemon reaches the store when it had an answer within this time. */
 constexpr Millis kFreshProof{ 1500 };
+/** A leader's own proof counts as recent within this time; it reads once a
+    second. */
+constexpr Millis kRecentProof{ 1700 };
+/** Time from the start in which all daemons of a large fleet are heard. */
+constexpr Millis kHearAll{ 4000 };
 /** Others must reach the store for this long before a leader makes room. */
 constexpr Millis kOthersReachFor{ 1500 };
 /** Runs that began this long before the own one, in milliseconds of the time of
@@ -43,6 +48,7 @@
   , m_self(std::move(aSelf))
   , m_processorShare(aProcessorShare)
   , m_leaderHeardAt(aNow)
+  , m_startedAt(aNow)
   , m_idleSince(aNow)
 {
 }
@@ -73,6 +79,13 @@
   }
 }
 
+void
+Leadership::OnHost(const std::string& aHost, double aProcessorShare)
+{
+  m_candidates.try_emplace(aHost).first->second.m_processorShare =
+    aProcessorShare;
+}
+
 void
 Leadership::OnBeat(TimePoint aNow,
                    const HostId& aFrom,
@@ -157,9 +170,13 @@
   }
   int rank = 0;
   const std::pair own(-m_processorShare, m_self.m_host);
+  const bool justStarted = aNow < m_startedAt + kHearAll;
   for (const auto& [host, candidate] : m_candidates) {
     const bool better = std::pair(-candidate.m_processorShare, host) < own;
-    rank += better && CouldLead(aNow, candidate) ? 1 : 0;
+    // A daemon that has just started has not heard all others yet.
+    const bool maybe = justStarted && candidate.m_heardAt == TimePoint{} &&
+                       candidate.m_processorShare > m_processorShare;
+    rank += better && (maybe || CouldLead(aNow, candidate)) ? 1 : 0;
   }
   return rank;
 }
@@ -197,18 +214,36 @@
   return aNow >= since + Rank(aNow) * m_times.m_stagger;
 }
 
+/** Whether another daemon has had an answer of the store just now; one whose
+    last answer is older than this leader's trouble may be cut off too. */
+bool
+Leadership::OthersReachStore(TimePoint aNow) const
+{
+  return std::any_of(
+    m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
+      const auto& candidate = aOne.second;
+      return CouldLead(aNow, candidate) &&
+             aNow < candidate.m_storeProvenAt + kFreshProof;
+    });
+}
+
+bool
+Leadership::CanHandOver(TimePoint aNow) const
+{
+  const bool storeWorks = m_storeWorks && aNow < m_provenAt + kRecentProof;
+  return OthersReachStore(aNow) ||
+         (storeWorks && std::any_of(m_candidates.begin(),
+                                    m_candidates.end(),
+                                    [&](const auto& aOne) {
+                                      return CouldLead(aNow, aOne.second);
+                                    }));
+}
+
 bool
 Leadership::ShouldResign(TimePoint aNow)
 {
   const bool othersReach =
-    m_leads && aNow >= m_provenAt + kResignAfter &&
-    std::any_of(
-      m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
-        const auto& candidate = aOne.second;
-        // One whose last answer is older than the trouble may be cut off too.
-        return CouldLead(aNow, candidate) &&
-               aNow < candidate.m_storeProvenAt + kFreshProof;
-      });
+    m_leads && aNow >= m_provenAt + kResignAfter && OthersReachStore(aNow);
   if (!othersReach) {
     m_othersReachSince = {};
   } else if (m_othersReachSince == TimePoint{}) {
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -74,6 +74,10 @@
   /** The store holds this record. */
   void OnRecord(TimePoint aNow, const LeaderRecord& aRecord);
 
+  /** A host is registered, with a part of a core; whether a daemon runs there
+     is not known yet. */
+  void OnHost(const std::string& aHost, double aProcessorShare);
+
   /** A daemon has been heard of. */
   void OnBeat(TimePoint aNow,
               const HostId& aFrom,
@@ -116,6 +120,9 @@
       leads on a host much smaller than another. */
   [[nodiscard]] bool ShouldResign(TimePoint aNow);
 
+  /** Whether another daemon could claim, were this leader to step down now. */
+  [[nodiscard]] bool CanHandOver(TimePoint aNow) const;
+
   /** The store holds this daemon's claim. */
   void OnClaimed(TimePoint aNow, Term aTerm);
 
@@ -164,6 +171,7 @@
   [[nodiscard]] bool CouldLead(TimePoint aNow,
                                const Candidate& aCandidate) const;
   [[nodiscard]] bool IsTooSmall(TimePoint aNow) const;
+  [[nodiscard]] bool OthersReachStore(TimePoint aNow) const;
   [[nodiscard]] std::chrono::nanoseconds HoldEnd() const noexcept
   {
     return m_times.m_orderLasts + WithDrift(m_times.m_hold, m_times.m_driftPpm);
@@ -182,6 +190,7 @@
   TimePoint m_ledSince{};
   TimePoint m_provenAt{};
   TimePoint m_foreignEnds{};
+  TimePoint m_startedAt;
   /** When this daemon started, or last stopped to lead. */
   TimePoint m_idleSince;
   /** The latest run that was heard of on each host, and since when. */
--- a/src/sapphirehook/keys/range_keeper.hpp
+++ b/src/sapphirehook/keys/range_keeper.hpp
@@ -16,7 +16,7 @@
   /** How long a grant lasts, on the endpoint's clock. */
   Millis m_hold{ 4000 };
   /** A grant is renewed this long after it was answered. */
-  Millis m_renewEvery{ 1200 };
+  Millis m_renewEvery{ 1500 };
   /** An order reaches its endpoint within this time of being sent, or not at
       all: its connection is reset then. */
   Millis m_orderLasts{ 400 };
@@ -24,6 +24,9 @@
   Millis m_retryAfter{ 150 };
   /** An endpoint's clock may be slow by this much. */
   unsigned m_driftPpm = 20'000;
+  /** Most grants in one round. A leader that begins has all ranges to grant,
+     and others must hear it meanwhile. */
+  std::size_t m_grantsPerRound = 40;
 };
 
 /** The safety rules of moves. Tests switch single rules off and show that
@@ -145,6 +148,9 @@
       the last call; it costs nothing for all others. */
   [[nodiscard]] KeeperActions TickChanged(TimePoint aNow);
 
+  /** Whether the last Tick left grants for the next, as there were too many. */
+  [[nodiscard]] bool HasMoreGrants() const noexcept { return m_moreGrants; }
+
   /** Whether ranges wait for their new assignment to be stored. */
   [[nodiscard]] bool HasToStore() const;
 
@@ -253,6 +259,9 @@
   std::vector<RangeRoute> m_toPublish;
   /** Keys of the orders under way, by the order. */
   std::map<std::uint64_t, KeyRange> m_ordered;
+  /** First key of the range at which the next round begins. */
+  Key m_beginAt = 0;
+  bool m_moreGrants = false;
   /** First keys of the ranges that TickChanged looks at. */
   std::set<Key> m_changed;
   /** Largest part of a lost endpoint's keys that goes to one other, in keys. */
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -444,9 +444,15 @@
   KeeperActions actions;
   m_keysCounted = false;
   m_changed.clear();
+  m_moreGrants = false;
   JoinNeighbours(aNow);
-  for (auto& [first, range] : m_ranges) {
-    TickRange(aNow, range, actions);
+  // Begins where the last round ran out of grants, so that all get their turn.
+  const auto begin = m_ranges.lower_bound(m_beginAt);
+  for (auto at = begin; at != m_ranges.end(); ++at) {
+    TickRange(aNow, at->second, actions);
+  }
+  for (auto at = m_ranges.begin(); at != begin; ++at) {
+    TickRange(aNow, at->second, actions);
   }
   actions.m_routes = std::exchange(m_toPublish, {});
   return actions;
@@ -504,7 +510,11 @@
     return;
   }
   if (aRange.m_grantId == 0 && aNow >= aRange.m_dueAt && MayGrant(aRange)) {
-    SendGrant(aRange, aActions);
+    if (aActions.m_grants.size() < m_times.m_grantsPerRound) {
+      SendGrant(aRange, aActions);
+    } else if (!std::exchange(m_moreGrants, true)) {
+      m_beginAt = aRange.m_range.m_first;
+    }
   }
 }
 
--- /dev/null
+++ b/test/sapphirehook/gossip/topic_batch.cpp
@@ -0,0 +1,114 @@
+#include "sapphirehook/gossip/topic_batch.hpp"
+
+#include "support/generate.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace sapphirehook;
+
+namespace {
+
+TopicBatch
+LargeBatch(std::size_t aBytes)
+{
+  std::mt19937 random(4);
+  std::string value;
+  while (value.size() < aBytes) {
+    value += static_cast<char>(support::Draw(random, 256));
+  }
+  return { "t",
+           10,
+           14,
+           { { 11, "a", value }, { 12, "b", std::nullopt }, { 13, "c", "" } } };
+}
+
+void
+CheckSame(const TopicBatch& aLeft, const TopicBatch& aRight)
+{
+  CHECK(aLeft.m_topic == aRight.m_topic);
+  CHECK(aLeft.m_from == aRight.m_from);
+  CHECK(aLeft.m_next == aRight.m_next);
+  REQUIRE(aLeft.m_records.size() == aRight.m_records.size());
+  for (std::size_t i = 0; i < aLeft.m_records.size(); ++i) {
+    CHECK(aLeft.m_records[i].m_offset == aRight.m_records[i].m_offset);
+    CHECK(aLeft.m_records[i].m_key == aRight.m_records[i].m_key);
+    CHECK(aLeft.m_records[i].m_value == aRight.m_records[i].m_value);
+  }
+}
+
+} // namespace
+
+TEST_CASE("a batch is put together from its parts in any order", "[gossip]")
+{
+  const auto batch = LargeBatch(20'000);
+  auto parts = SplitBatch(batch);
+  REQUIRE(parts.size() > 10);
+  for (const auto& part : parts) {
+    CHECK(part.m_bytes.size() < 1200);
+  }
+  std::mt19937 random(1);
+  std::shuffle(parts.begin(), parts.end(), random);
+  BatchAssembler assembler;
+  std::optional<TopicBatch> whole;
+  for (const auto& part : parts) {
+    CHECK_FALSE(whole.has_value());
+    if (&part != &parts.front()) {
+      CHECK_FALSE(assembler.Add("other", part).has_value());
+    }
+    whole = assembler.Add("sender", part);
+    CHECK_FALSE(assembler.Add("sender", part).has_value());
+  }
+  REQUIRE(whole.has_value());
+  CheckSame(batch, *whole);
+}
+
+TEST_CASE("text is passed on in few datagrams", "[gossip]")
+{
+  TopicBatch batch{ "t", 0, 1, {} };
+  std::string value;
+  for (int route = 0; route < 110; ++route) {
+    value += R"({"resource-kind":"routes","metadata":{"name":"r)" +
+             std::to_string(route * 7919) +
+             R"("},"spec":{"host":"boye79.example","path-prefix":"/nyda)" +
+             std::to_string(route) + R"(/","timeout-ms":2500}})";
+  }
+  batch.m_records.push_back({ 0, "config", value });
+  CHECK(SplitBatch(batch).size() <= 4);
+}
+
+TEST_CASE("a lost, spoilt or foreign part gives no batch", "[gossip]")
+{
+  const auto parts = SplitBatch(LargeBatch(5000));
+  REQUIRE(parts.size() > 3);
+  BatchAssembler assembler;
+  for (std::size_t i = 1; i < parts.size(); ++i) {
+    CHECK_FALSE(assembler.Add("s", parts[i]).has_value());
+  }
+  // The first part of the next batch does not complete the one before.
+  auto next = parts[0];
+  next.m_from = 14;
+  next.m_next = 20;
+  CHECK_FALSE(assembler.Add("s", next).has_value());
+  CHECK_FALSE(assembler.Add("s", parts[0]).has_value());
+  for (std::size_t spoilt = 0; spoilt < parts.size(); ++spoilt) {
+    BatchAssembler other;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      auto part = parts[i];
+      if (i == spoilt) {
+        part.m_bytes[part.m_bytes.size() / 2] ^= 0x55;
+      }
+      CHECK_FALSE(other.Add("s", part).has_value());
+    }
+  }
+  auto foreign = parts[0];
+  foreign.m_parts = 0;
+  CHECK_FALSE(assembler.Add("s", foreign).has_value());
+  foreign.m_parts = 100'000;
+  CHECK_FALSE(assembler.Add("s", foreign).has_value());
+}
+
+TEST_CASE("a batch too large for datagrams is not passed on", "[gossip]")
+{
+  CHECK(SplitBatch(LargeBatch(200'000)).empty());
+}
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -143,3 +143,98 @@
   leadership.OnClaimed(At(2000), 2);
   CHECK(leadership.ForeignGrantsEnd() == At(5000));
 }
+
+TEST_CASE("the daemon with the most processor claims first", "[keys]")
+{
+  auto leadership = Follower();
+  const Candidate larger{ true, At(1600), false, {}, 0.5 };
+  leadership.OnBeat(At(1600), { "z", 30 }, 0, false, larger);
+  CHECK_FALSE(leadership.ShouldClaim(At(1720)));
+  const Candidate smaller{ true, At(1600), false, {}, 0.1 };
+  leadership.OnBeat(At(1600), { "z", 30 }, 0, false, smaller);
+  CHECK(leadership.ShouldClaim(At(1720)));
+  CHECK(leadership.ChooseHeirs(At(1700)) == std::vector<std::string>{ "z" });
+  leadership.OnBeat(At(1650), { "y", 30 }, 0, false, larger);
+  CHECK(leadership.ChooseHeirs(At(1700)) ==
+        std::vector<std::string>{ "y", "z" });
+}
+
+TEST_CASE("a daemon that has just started leaves the turn to larger hosts",
+          "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnHost("z", 0.5);
+  leadership.OnHost("a", 0.2);
+  CHECK_FALSE(leadership.ShouldClaim(At(1720)));
+  CHECK(leadership.ShouldClaim(At(1950)));
+  // Later a daemon that was never heard of does not count.
+  auto later = Follower();
+  later.OnHost("z", 0.5);
+  later.OnBeat(At(9000), { "c", 9 }, 1, true, { true, At(9000), false, {} });
+  CHECK(later.ShouldClaim(At(9000) + LeadershipTimes{}.m_silence));
+}
+
+TEST_CASE("a claim that has just been read counts as heard", "[keys]")
+{
+  const auto silence = LeadershipTimes{}.m_silence;
+  auto leadership = Follower();
+  leadership.OnBeat(At(1100), kOther, 1, true, { true, At(1100), false, {} });
+  leadership.OnRecord(At(2500), { 2, { "c", 30 }, 0, 0 });
+  CHECK_FALSE(leadership.ShouldClaim(At(2500) + silence - Millis(1)));
+  SECTION("but not one of a run before all were killed")
+  {
+    Leadership restarted(LeadershipTimes{}, { "b", 60'000 }, 0.2, At(1000));
+    restarted.SetStoreWorks(At(1000), true);
+    restarted.OnRecord(At(1690), { 2, { "c", 30'000 }, 0, 0 });
+    CHECK(restarted.ShouldClaim(At(1000) + silence));
+  }
+}
+
+TEST_CASE("a daemon that did not run hears the leader before it claims",
+          "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnPause(At(9000));
+  CHECK_FALSE(leadership.ShouldClaim(At(9000)));
+  CHECK(leadership.ShouldClaim(At(9300)));
+}
+
+TEST_CASE("a leader makes room for a much larger host, once it has run a while",
+          "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnClaimed(At(2000), 1);
+  const auto beat = [&](int aAt, double aShare) {
+    leadership.OnProof(At(aAt));
+    leadership.OnBeat(
+      At(aAt), kOther, 1, false, { true, At(aAt), false, {}, aShare });
+  };
+  beat(3000, 0.5);
+  CHECK_FALSE(leadership.ShouldResign(At(3000)));
+  beat(6500, 0.5);
+  CHECK_FALSE(leadership.ShouldResign(At(6500)));
+  beat(7100, 0.3);
+  CHECK_FALSE(leadership.ShouldResign(At(7100)));
+  beat(7200, 0.5);
+  CHECK(leadership.ShouldResign(At(7200)));
+}
+
+TEST_CASE("a leader that is stopped stays while nobody can claim", "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnClaimed(At(2000), 1);
+  CHECK_FALSE(leadership.CanHandOver(At(2100)));
+  leadership.OnBeat(
+    At(2100), kOther, 1, false, { true, At(1500), false, {}, 0.2 });
+  CHECK(leadership.CanHandOver(At(2200)));
+  SECTION("during an outage")
+  {
+    leadership.OnBeat(
+      At(6000), kOther, 1, false, { true, At(1500), false, {}, 0.2 });
+    CHECK_FALSE(leadership.CanHandOver(At(6100)));
+    leadership.SetStoreWorks(At(6100), false);
+    leadership.OnBeat(
+      At(6200), kOther, 1, false, { true, At(6200), false, {}, 0.2 });
+    CHECK(leadership.CanHandOver(At(6300)));
+  }
+}
--- a/test/sapphirehook/keys/range_keeper.cpp
+++ b/test/sapphirehook/keys/range_keeper.cpp
@@ -623,3 +623,100 @@
   REQUIRE_FALSE(later.m_grants.empty());
   CHECK(later.m_grants.front().m_order.m_fence > before);
 }
+
+TEST_CASE("neighbouring ranges of one endpoint are renewed by one order",
+          "[keys]")
+{
+  RangeKeeper keeper(KeeperTimes{}, 1, TimePoint{});
+  keeper.SetEndpoints(Endpoints(1));
+  keeper.CoverAll(64);
+  std::map<unsigned, std::vector<RangeAssignment>> stored;
+  const TimePoint now = At(Millis(1));
+  Settle(keeper, now, stored);
+  // Joined only within what is stored as one.
+  CHECK(keeper.Ranges().size() == kKeyCount / kStoreBlockKeys);
+  const auto renewals = keeper.Tick(now + KeeperTimes{}.m_renewEvery);
+  REQUIRE(renewals.m_grants.size() == kKeyCount / kStoreBlockKeys);
+  std::uint32_t keys = 0;
+  for (const auto& grant : renewals.m_grants) {
+    keys += grant.m_order.m_range.Size();
+  }
+  CHECK(keys == kKeyCount);
+}
+
+TEST_CASE("a leader with many ranges grants them in turn, a round at a time",
+          "[keys]")
+{
+  KeeperTimes times;
+  RangeKeeper keeper(times, 1, TimePoint{});
+  keeper.SetEndpoints(Endpoints(7));
+  keeper.CoverAll(500);
+  std::map<unsigned, std::vector<RangeAssignment>> stored;
+  const TimePoint now = At(Millis(1));
+  static_cast<void>(keeper.Tick(now));
+  static_cast<void>(keeper.BeginStore());
+  keeper.OnStored(now);
+  const auto ranges = keeper.Ranges().size();
+  std::set<Key> granted;
+  std::size_t rounds = 0;
+  do {
+    const auto actions = keeper.Tick(now);
+    CHECK(actions.m_grants.size() <= times.m_grantsPerRound);
+    for (const auto& grant : actions.m_grants) {
+      CHECK(granted.insert(grant.m_order.m_range.m_first).second);
+    }
+    ++rounds;
+  } while (keeper.HasMoreGrants());
+  CHECK(granted.size() == ranges);
+  CHECK(rounds ==
+        (ranges + times.m_grantsPerRound - 1) / times.m_grantsPerRound);
+}
+
+TEST_CASE("the keys of a lost endpoint go to several others", "[keys]")
+{
+  RangeKeeper keeper(KeeperTimes{}, 1, TimePoint{});
+  auto endpoints = Endpoints(8);
+  keeper.SetEndpoints(endpoints);
+  keeper.CoverAll(8);
+  std::map<unsigned, std::vector<RangeAssignment>> stored;
+  const TimePoint now = At(Millis(1));
+  Settle(keeper, now, stored);
+  std::map<std::string, std::uint32_t> before;
+  for (const auto& range : keeper.Ranges()) {
+    before[range.m_endpoint] += range.m_range.Size();
+  }
+  endpoints[3].m_dead = true;
+  keeper.SetEndpoints(endpoints);
+  Settle(keeper, now, stored);
+  std::size_t gained = 0;
+  for (const auto& range : keeper.Ranges()) {
+    before[range.m_endpoint] -= range.m_range.Size();
+  }
+  for (const auto& [name, lost] : before) {
+    gained += name != "e3" && lost != 0 ? 1 : 0;
+  }
+  CHECK(gained >= 4);
+}
+
+TEST_CASE(
+  "keys that an earlier leader granted are taken to be held for a while",
+  "[keys]")
+{
+  RangeKeeper keeper(KeeperTimes{}, 100, TimePoint{});
+  keeper.SetEndpoints(Endpoints(2));
+  const TimePoint now = At(Millis(1));
+  keeper.Load({ { 0, 4095 }, { "e1", 1 }, 7 }, now + Millis(1500));
+  const auto isReady = [&] { return keeper.Routes().front().m_ready; };
+  // No grant of this leader is answered.
+  const auto play = [&](TimePoint aNow) {
+    for (const auto& grant : keeper.Tick(aNow).m_grants) {
+      keeper.OnGrantEnd(aNow, grant.m_id, { OrderEnd::NotSent, "" });
+    }
+  };
+  play(now);
+  CHECK(isReady());
+  play(now + Millis(1499));
+  CHECK(isReady());
+  play(now + Millis(1500));
+  CHECK_FALSE(isReady());
+}
--- /dev/null
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -0,0 +1,212 @@
+#include "sapphirehook/store/topic_reader.hpp"
+
+#include "platform/protocol.hpp"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+
+using namespace sapphirehook;
+
+namespace {
+
+/** A store on loopback that answers what a test tells it to. */
+class FakeStore
+{
+public:
+  explicit FakeStore(EventLoop& aLoop)
+    : m_loop(aLoop)
+    , m_listener(aLoop, [this](int aSocket) { Accept(aSocket); })
+  {
+    m_address.sin_family = AF_INET;
+    m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    auto* address = reinterpret_cast<sockaddr*>(&m_address);
+    socklen_t size = sizeof m_address;
+    REQUIRE(bind(probe, address, size) == 0);
+    getsockname(probe, address, &size);
+    close(probe);
+    REQUIRE(m_listener.Listen(m_address));
+  }
+
+  /** Returns the body of the answer to a target; nothing leaves it open. */
+  std::function<std::optional<std::string>(const std::string&)> m_answer;
+  std::vector<std::string> m_asked;
+  sockaddr_in m_address{};
+
+private:
+  struct Connection
+  {
+    std::unique_ptr<TcpStream> m_stream;
+    std::unique_ptr<MessageParser> m_parser;
+  };
+
+  void Accept(int aSocket)
+  {
+    auto& connection =
+      *m_connections.emplace_back(std::make_unique<Connection>());
+    connection.m_parser = std::make_unique<MessageParser>(
+      MessageSide::Request,
+      MessageEvents{
+        [this, &connection] { Answer(connection); }, nullptr, nullptr });
+    connection.m_stream = std::make_unique<TcpStream>(
+      m_loop,
+      StreamEvents{ nullptr,
+                    [&connection](std::string_view aBytes) {
+                      static_cast<void>(connection.m_parser->Feed(aBytes));
+                      connection.m_parser->Resume();
+                    },
+                    nullptr,
+                    [](StreamEnd) {} });
+    connection.m_stream->Adopt(aSocket, Millis(3000));
+  }
+
+  void Answer(Connection& aConnection)
+  {
+    const auto target = aConnection.m_parser->Request().m_target;
+    m_asked.push_back(target);
+    if (const auto body = m_answer(target)) {
+      aConnection.m_stream->Write(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body->size()) +
+        "\r\n\r\n" + *body);
+    }
+  }
+
+  EventLoop& m_loop;
+  TcpListener m_listener;
+  std::vector<std::unique_ptr<Connection>> m_connections;
+};
+
+void
+AppendNumber(std::string& aBytes, std::uint64_t aNumber, int aSize)
+{
+  constexpr unsigned kByte = 8;
+  for (int i = aSize - 1; i >= 0; --i) {
+    aBytes += static_cast<char>(aNumber >> (kByte * static_cast<unsigned>(i)));
+  }
+}
+
+/** A page of records as the store sends it: keys with their values. */
+std::string
+Page(Offset aEnd,
+     const std::vector<std::pair<std::string, std::string>>& aRecords)
+{
+  std::string bytes;
+  AppendNumber(bytes, aEnd, 8);
+  AppendNumber(bytes, 0, 8);
+  for (const auto& [key, value] : aRecords) {
+    AppendNumber(bytes, 1 + key.size() + value.size(), 4);
+    AppendNumber(bytes, key.size(), 1);
+    bytes += key + value;
+  }
+  return bytes;
+}
+
+const std::string kNewest =
+  R"({"items":[{"key":"a","value":"MQ==","offset":4}],"has-more":false,)"
+  R"("end-offset":5})";
+
+/** A reader of a fake store, and what it gives. */
+class Bed
+{
+public:
+  Bed()
+    : m_protocol(platform::Protocol())
+    , m_store(m_loop)
+    , m_reader(m_loop,
+               m_protocol.m_store,
+               m_store.m_address,
+               "keyed.t",
+               { Millis(2000), Millis(5) },
+               { [this](const KeyedRecord& aRecord) {
+                  m_given.push_back(aRecord.m_key + "=" +
+                                    aRecord.m_value.value_or("-"));
+                },
+                 [this](Offset aFrom,
+                        Offset aNext,
+                        const std::vector<KeyedRecord>& aRecords) {
+                   m_batches.push_back({ "keyed.t", aFrom, aNext, aRecords });
+                 },
+                 [](Offset, TimePoint) {},
+                 [this](StoreAnswer) { ++m_troubles; } })
+  {
+    m_store.m_answer =
+      [this](const std::string& aTarget) -> std::optional<std::string> {
+      if (aTarget.find("log-newest") != std::string::npos) {
+        return kNewest;
+      }
+      return std::exchange(m_page, std::nullopt);
+    };
+  }
+
+  void RunFor(Millis aTime)
+  {
+    Timer timer(m_loop, [this] { m_loop.Stop(); });
+    timer.Start(aTime);
+    m_loop.Run();
+  }
+
+  struct Batch
+  {
+    std::string m_topic;
+    Offset m_from;
+    Offset m_next;
+    std::vector<KeyedRecord> m_records;
+  };
+
+  EventLoop m_loop;
+  GatewayProtocol m_protocol;
+  FakeStore m_store;
+  std::vector<std::string> m_given;
+  std::vector<Batch> m_batches;
+  unsigned m_troubles = 0;
+  /** What the next read that waits is answered. */
+  std::optional<std::string> m_page;
+  TopicReader m_reader;
+};
+
+} // namespace
+
+TEST_CASE("a read gives the newest record of each key, and all as one batch",
+          "[store]")
+{
+  Bed bed;
+  bed.m_page = Page(8, { { "a", "2" }, { "b", "1" }, { "a", "3" } });
+  bed.m_reader.Start();
+  bed.RunFor(Millis(150));
+  CHECK(bed.m_given == std::vector<std::string>{ "a=1", "b=1", "a=3" });
+  REQUIRE(bed.m_batches.size() == 1);
+  CHECK(bed.m_batches[0].m_from == 5);
+  CHECK(bed.m_batches[0].m_next == 8);
+  CHECK(bed.m_batches[0].m_records.size() == 2);
+  CHECK(bed.m_reader.End() == 8);
+}
+
+TEST_CASE("a paused reader takes what is passed on, and calls nobody",
+          "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  bed.m_reader.Pause();
+  const auto asked = bed.m_store.m_asked.size();
+  SECTION("what follows on its records")
+  {
+    CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }));
+    CHECK(bed.m_reader.End() == 7);
+    CHECK(bed.m_given.back() == "b=x");
+  }
+  SECTION("of what overlaps, the part that is new")
+  {
+    CHECK(bed.m_reader.Accept(3, 7, { { 4, "a", "old" }, { 6, "b", "x" } }));
+    CHECK(bed.m_given == std::vector<std::string>{ "a=1", "b=x" });
+  }
+  SECTION("nothing after a gap, or of what it has")
+  {
+    CHECK_FALSE(bed.m_reader.Accept(6, 7, { { 6, "b", "x" } }));
+    CHECK_FALSE(bed.m_reader.Accept(2, 5, { { 4, "a", "old" } }));
+    CHECK(bed.m_reader.End() == 5);
+  }
+  bed.RunFor(Millis(100));
+  CHECK(bed.m_store.m_asked.size() == asked);
+  CHECK(bed.m_batches.empty());
+}
