Planner: ranges move only for loads that differ for certain

Each move leaves its keys without an endpoint until what runs there has ended. Ruled out: speeds (the same with equal endpoints). Change: how busy ranges are comes from 4 s, scaled by how busy the service is now without what is hot; where the last 0.6 s differ by 2.5 deviations they count. An endpoint is unburdened when it very likely has too much. Counts are half a round old on average, not none.

--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -1,7 +1,7 @@
 #include "sapphirehook/keys/range_planner.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <array>
 
 namespace sapphirehook {
 
@@ -9,6 +9,12 @@
 
 /** What faded below this count is dropped. */
 constexpr float kNegligible = 0.01F;
+/** Counts stand for this many seconds at least, from the first report on. */
+constexpr double kLeastSeconds = 0.2;
+/** Blocks of keys in which the present load is compared with the usual. */
+constexpr std::size_t kLevelBlocks = 256;
+/** A single request more never tells of a change. */
+constexpr double kOneRequest = 1.0;
 
 /** Keeps a division by a capacity of nothing harmless, in requests a second. */
 constexpr double kLeastCapacity = 0.1;
@@ -21,11 +27,44 @@
 } // namespace
 
 void
-RangePlanner::Add(const std::vector<KeyCount>& aCounts)
+RangePlanner::FadingCounts::Advance(std::chrono::duration<double> aPassed,
+                                    const std::vector<KeyCount>& aNew)
 {
-  for (const auto& one : aCounts) {
-    m_rates[one.m_key] += static_cast<float>(one.m_count);
+  const double kept = std::exp(-aPassed / m_window);
+  m_age += aPassed;
+  for (auto& count : m_counts) {
+    if (count != 0.0F) {
+      count = count < kNegligible ? 0.0F : count * static_cast<float>(kept);
+    }
+  }
+  // The new ones are half as old on average.
+  const auto keptOfNew = static_cast<float>(std::sqrt(kept));
+  for (const auto& one : aNew) {
+    m_counts[one.m_key] += static_cast<float>(one.m_count) * keptOfNew;
+  }
+}
+
+double
+RangePlanner::FadingCounts::Count(KeyRange aRange) const
+{
+  double count = 0.0;
+  for (std::uint32_t key = aRange.m_first; key <= aRange.m_last; ++key) {
+    count += static_cast<double>(m_counts[key]);
   }
+  return count;
+}
+
+double
+RangePlanner::FadingCounts::Seconds() const noexcept
+{
+  return std::max(m_window.count() * (1.0 - std::exp(-m_age / m_window)),
+                  kLeastSeconds);
+}
+
+void
+RangePlanner::Add(const std::vector<KeyCount>& aCounts)
+{
+  m_new.insert(m_new.end(), aCounts.begin(), aCounts.end());
 }
 
 void
@@ -35,37 +74,85 @@
     m_advancedAt = aNow;
   }
   const std::chrono::duration<double> passed = aNow - m_advancedAt;
-  const std::chrono::duration<double> window = m_config.m_window;
-  const auto kept = static_cast<float>(std::exp(-passed / window));
   m_advancedAt = aNow;
-  for (auto& rate : m_rates) {
-    if (rate != 0.0F) {
-      rate = rate < kNegligible ? 0.0F : rate * kept;
+  m_short.Advance(passed, m_new);
+  m_long.Advance(passed, m_new);
+  m_new.clear();
+  FindLevel();
+}
+
+/** Compares the short counts with the long ones over all keys, then again
+   without the keys that are hot: the crest of a swing raises all of them alike.
+ */
+void
+RangePlanner::FindLevel()
+{
+  const double scale = m_short.Seconds() / m_long.Seconds();
+  std::array<double, kLevelBlocks> seen{};
+  std::array<double, kLevelBlocks> usual{};
+  double allSeen = 0.0;
+  double allUsual = 0.0;
+  constexpr std::uint32_t kBlockKeys = kKeyCount / kLevelBlocks;
+  for (std::uint32_t block = 0; block < kLevelBlocks; ++block) {
+    const KeyRange range{ static_cast<Key>(block * kBlockKeys),
+                          static_cast<Key>((block + 1) * kBlockKeys - 1) };
+    seen[block] = m_short.Count(range);
+    usual[block] = m_long.Count(range) * scale;
+    allSeen += seen[block];
+    allUsual += usual[block];
+  }
+  if (allUsual <= 0.0) {
+    m_level = 1.0;
+    return;
+  }
+  const double all = allSeen / allUsual;
+  for (std::size_t block = 0; block < kLevelBlocks; ++block) {
+    if (Differs(seen[block], usual[block] * all)) {
+      allSeen -= seen[block];
+      allUsual -= usual[block];
     }
   }
+  m_level = allUsual > 0.0 ? allSeen / allUsual : all;
+}
+
+bool
+RangePlanner::Differs(double aSeen, double aExpected) const noexcept
+{
+  // A faded count varies half as much as one over a window of its size.
+  const double deviation = std::sqrt(std::max(aSeen, aExpected) / 2.0);
+  return std::abs(aSeen - aExpected) >
+         m_config.m_deviations * deviation + kOneRequest;
+}
+
+RangePlanner::Basis
+RangePlanner::BasisFor(KeyRange aRange) const
+{
+  const double factor = m_level / m_long.Seconds();
+  const double expected = m_long.Count(aRange) * factor * m_short.Seconds();
+  if (Differs(m_short.Count(aRange), expected)) {
+    return { &m_short, 1.0 / m_short.Seconds() };
+  }
+  return { &m_long, factor };
 }
 
 double
 RangePlanner::Rate(KeyRange aRange) const
 {
-  double count = 0.0;
-  for (std::uint32_t key = aRange.m_first; key <= aRange.m_last; ++key) {
-    count += static_cast<double>(m_rates[key]);
-  }
+  const auto basis = BasisFor(aRange);
   return kIdleKeyRate * aRange.Size() +
-         count / std::chrono::duration<double>(m_config.m_window).count();
+         basis.m_counts->Count(aRange) * basis.m_factor;
 }
 
 std::vector<RangePlanner::Piece>
 RangePlanner::Cut(KeyRange aRange, double aMost) const
 {
-  const double window =
-    std::chrono::duration<double>(m_config.m_window).count();
+  const auto basis = BasisFor(aRange);
   std::vector<Piece> pieces;
   Piece piece{ { aRange.m_first, aRange.m_first }, 0.0 };
   for (std::uint32_t key = aRange.m_first; key <= aRange.m_last; ++key) {
     const double rate =
-      kIdleKeyRate + static_cast<double>(m_rates[key]) / window;
+      kIdleKeyRate +
+      basis.m_counts->Count(static_cast<Key>(key)) * basis.m_factor;
     if (piece.m_rate > 0.0 && piece.m_rate + rate > aMost) {
       piece.m_range.m_last = static_cast<Key>(key - 1);
       pieces.push_back(piece);
@@ -99,6 +186,8 @@
     const auto holder = loads.find(range.m_endpoint);
     if (holder != loads.end()) {
       holder->second.m_rate += rate;
+      holder->second.m_variance +=
+        rate * BasisFor(range.m_range).m_factor / 2.0;
       holder->second.m_isNew = false;
       if (!range.m_moving) {
         holder->second.m_ranges.push_back(range.m_range);
@@ -117,7 +206,7 @@
         return aOne.second.m_isNew &&
                aOne.second.Share() < mean * kNewcomerPart;
       });
-    if (busiest == nullptr || (busiest->Share() <= most && !newcomer)) {
+    if (busiest == nullptr || (busiest->LeastShare() <= most && !newcomer)) {
       break;
     }
     if (!MoveOne(*busiest, loads, moves)) {
--- a/src/sapphirehook/keys/range_planner.hpp
+++ b/src/sapphirehook/keys/range_planner.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/keys/hot_key_counter.hpp"
 #include "sapphirehook/keys/range_keeper.hpp"
 
+#include <cmath>
 #include <map>
 #include <string>
 #include <vector>
@@ -13,8 +14,13 @@
 /** When and how far the planner levels the load. */
 struct PlannerConfig
 {
-  /** Time over which request rates are averaged. */
-  std::chrono::nanoseconds m_window = std::chrono::milliseconds(600);
+  /** Times over which request rates are averaged: a short one that shows a hot
+      range at once, and a long one that says how busy the others are. */
+  std::chrono::nanoseconds m_shortWindow = std::chrono::milliseconds(600);
+  std::chrono::nanoseconds m_longWindow = std::chrono::milliseconds(4000);
+  /** The short rate counts where it differs from the long one by this many
+      standard deviations; else a few requests more would move ranges. */
+  double m_deviations = 2.5;
   /** Endpoints are unburdened above this share of their capacity. */
   double m_busyShare = 0.55;
   /** An endpoint is unburdened when it has this many times the mean load. */
@@ -53,7 +59,8 @@
 public:
   explicit RangePlanner(PlannerConfig aConfig)
     : m_config(aConfig)
-    , m_rates(kKeyCount, 0.0F)
+    , m_short(aConfig.m_shortWindow)
+    , m_long(aConfig.m_longWindow)
   {
   }
 
@@ -72,6 +79,34 @@
   [[nodiscard]] double Rate(KeyRange aRange) const;
 
 private:
+  /** Requests of each key, of which older ones count ever less. */
+  class FadingCounts
+  {
+  public:
+    explicit FadingCounts(std::chrono::nanoseconds aWindow)
+      : m_window(aWindow)
+      , m_counts(kKeyCount, 0.0F)
+    {
+    }
+
+    /** Lets the counts fade by a time, and adds those of that time. */
+    void Advance(std::chrono::duration<double> aPassed,
+                 const std::vector<KeyCount>& aNew);
+
+    [[nodiscard]] double Count(KeyRange aRange) const;
+    [[nodiscard]] double Count(Key aKey) const
+    {
+      return static_cast<double>(m_counts[aKey]);
+    }
+    /** Seconds that the counts stand for: the window, or less at first. */
+    [[nodiscard]] double Seconds() const noexcept;
+
+  private:
+    std::chrono::duration<double> m_window;
+    std::chrono::duration<double> m_age{};
+    std::vector<float> m_counts;
+  };
+
   struct Piece
   {
     KeyRange m_range;
@@ -82,6 +117,8 @@
   struct Load
   {
     double m_rate = 0.0;
+    /** Variance of the rate, as it was counted over a short time. */
+    double m_variance = 0.0;
     double m_capacity = 0.0;
     std::vector<KeyRange> m_ranges;
     std::vector<Piece> m_pieces;
@@ -92,8 +129,24 @@
     bool m_settled = false;
 
     [[nodiscard]] double Share() const noexcept { return m_rate / m_capacity; }
+    /** Share that the load very likely has at least. */
+    [[nodiscard]] double LeastShare() const noexcept
+    {
+      return (m_rate - std::sqrt(m_variance)) / m_capacity;
+    }
   };
 
+  /** Counts that say how busy a range is, and what turns them into requests a
+      second. */
+  struct Basis
+  {
+    const FadingCounts* m_counts = nullptr;
+    double m_factor = 0.0;
+  };
+  [[nodiscard]] Basis BasisFor(KeyRange aRange) const;
+  /** Whether a range is busier or less busy now than the long counts say. */
+  [[nodiscard]] bool Differs(double aSeen, double aExpected) const noexcept;
+  void FindLevel();
   [[nodiscard]] std::vector<Piece> Cut(KeyRange aRange, double aMost) const;
   [[nodiscard]] static Load* Busiest(std::map<std::string, Load>& aLoads);
   bool MoveOne(Load& aFrom,
@@ -101,8 +154,13 @@
                std::vector<PlannedMove>& aMoves) const;
 
   PlannerConfig m_config;
-  /** Faded count of requests by key; a rate once divided by the window. */
-  std::vector<float> m_rates;
+  /** Counts since the last Advance. */
+  std::vector<KeyCount> m_new;
+  FadingCounts m_short;
+  FadingCounts m_long;
+  /** How much busier the service is now than over the long time, but for what
+     is hot. */
+  double m_level = 1.0;
   TimePoint m_advancedAt{};
 };
 
--- a/test/sapphirehook/keys/range_planner.cpp
+++ b/test/sapphirehook/keys/range_planner.cpp
@@ -164,3 +164,55 @@
     }
   }
 }
+
+TEST_CASE("an even load moves next to nothing, though its counts vary",
+          "[keys][crest]")
+{
+  // 500 requests a second over 15 endpoints, of 900 that these can do.
+  std::mt19937 random(11);
+  RangePlanner planner(PlannerConfig{});
+  const auto endpoints = Endpoints(15);
+  auto ranges = Dealt(90, 15);
+  std::uint32_t moved = 0;
+  for (int now = 200; now <= 30'000; now += 200) {
+    std::vector<KeyCount> counts;
+    for (int i = 0; i < 100; ++i) {
+      counts.push_back(
+        { static_cast<Key>(support::Draw(random, kKeyCount)), 1 });
+    }
+    planner.Add(counts);
+    planner.Advance(At(now));
+    const auto moves = planner.Plan(ranges, endpoints);
+    for (const auto& move : moves) {
+      moved += now > 4000 ? move.m_range.Size() : 0;
+    }
+    ranges = Applied(ranges, moves);
+  }
+  // One key in twenty in half a minute, once the load is known.
+  CHECK(moved < kKeyCount / 20);
+}
+
+TEST_CASE("the planner sees the crest of a swing as soon as it comes",
+          "[keys][crest]")
+{
+  std::mt19937 random(12);
+  RangePlanner planner(PlannerConfig{});
+  const KeyRange quarter{ 0, kKeyCount / 4 - 1 };
+  const auto play = [&](int aFrom, int aTo, int aPerTick) {
+    for (int now = aFrom + 200; now <= aTo; now += 200) {
+      std::vector<KeyCount> counts;
+      for (int i = 0; i < aPerTick; ++i) {
+        counts.push_back(
+          { static_cast<Key>(support::Draw(random, kKeyCount)), 1 });
+      }
+      planner.Add(counts);
+      planner.Advance(At(now));
+    }
+  };
+  play(0, 8000, 40);
+  CHECK(planner.Rate(quarter) == Approx(50.0).epsilon(0.15));
+  play(8000, 9000, 100);
+  CHECK(planner.Rate(quarter) > 100.0);
+  play(9000, 11'000, 20);
+  CHECK(planner.Rate(quarter) < 35.0);
+}
