A leader whose host runs another daemon is replaced without a wait

Cause: after all daemons were killed nobody claimed for 0.7 s, the silence by which a lost leader is noticed, though the leader's own host ran a new daemon. Ruled out: the reading of configuration and endpoints (20 ms), the grants (50 ms). Change: the three that would claim first read the stored record 0.2 s after their start; silence is not waited for once the recorded run has ended.

--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -115,7 +115,7 @@
   } else if (m_reader) {
     StepDown("another daemon leads");
   } else if (!m_claiming && !m_stopping && !KeyedServices().empty() &&
-             m_leadership.ShouldClaim(now)) {
+             (m_leadership.ShouldClaim(now) || m_leadership.ShouldRead(now))) {
     TryClaim();
   }
 }
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -20,6 +20,10 @@
 /** A leader's own proof counts as recent within this time; it reads once a
     second. */
 constexpr Millis kRecentProof{ 1700 };
+/** Time from the start in which the daemons that start alike are heard, and how
+    many of the first to claim read the stored record then. */
+constexpr Millis kFirstBeats{ 200 };
+constexpr int kReadingRanks = 3;
 /** Time from the start in which all daemons of a large fleet are heard. */
 constexpr Millis kHearAll{ 4000 };
 /** Others must reach the store for this long before a leader makes room. */
@@ -56,6 +60,7 @@
 void
 Leadership::OnRecord(TimePoint aNow, const LeaderRecord& aRecord)
 {
+  m_recordRead = true;
   if (aRecord.m_term < m_record.m_term) {
     return;
   }
@@ -207,13 +212,41 @@
        aNow < m_resignedAt + kRestAfterResigning)) {
     return false;
   }
+  // Silence tells nothing more once the leader's host runs another daemon.
+  const TimePoint lost = RecordedRunHasEnded() && m_leader == HostId{}
+                           ? m_startedAt
+                           : m_leaderHeardAt + m_times.m_silence;
   // After an outage all daemons reach the store at once, and take their turns
   // from then on.
-  const TimePoint since =
-    std::max(m_leaderHeardAt + m_times.m_silence, m_storeSince);
+  const TimePoint since = std::max(lost, m_storeSince);
   return aNow >= since + Rank(aNow) * m_times.m_stagger;
 }
 
+bool
+Leadership::ShouldRead(TimePoint aNow) const
+{
+  return !m_recordRead && m_storeWorks && m_leader == HostId{} &&
+         aNow >= m_startedAt + kFirstBeats && aNow < m_startedAt + kHearAll &&
+         Rank(aNow) < kReadingRanks;
+}
+
+/** Whether the daemon that claimed last has ended: another run has started on
+    its host. */
+bool
+Leadership::RecordedRunHasEnded() const
+{
+  const auto& leader = m_record.m_leader;
+  if (m_record.m_term == 0 || m_record.m_term < m_term) {
+    return false;
+  }
+  if (leader.m_host == m_self.m_host) {
+    return leader.m_incarnation < m_self.m_incarnation;
+  }
+  const auto run = m_runs.find(leader.m_host);
+  return run != m_runs.end() &&
+         run->second.m_incarnation > leader.m_incarnation;
+}
+
 /** Whether another daemon has had an answer of the store just now; one whose
     last answer is older than this leader's trouble may be cut off too. */
 bool
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -113,6 +113,10 @@
   /** Whether this daemon should claim now. */
   [[nodiscard]] bool ShouldClaim(TimePoint aNow) const;
 
+  /** Whether this daemon should read the stored record, as it may be the next
+      to claim and has not read it since its start. */
+  [[nodiscard]] bool ShouldRead(TimePoint aNow) const;
+
   /** Daemons that should claim when this leader is lost, the best first. */
   [[nodiscard]] std::vector<std::string> ChooseHeirs(TimePoint aNow) const;
 
@@ -171,6 +175,7 @@
   [[nodiscard]] bool CouldLead(TimePoint aNow,
                                const Candidate& aCandidate) const;
   [[nodiscard]] bool IsTooSmall(TimePoint aNow) const;
+  [[nodiscard]] bool RecordedRunHasEnded() const;
   [[nodiscard]] bool OthersReachStore(TimePoint aNow) const;
   [[nodiscard]] std::chrono::nanoseconds HoldEnd() const noexcept
   {
@@ -182,6 +187,7 @@
   double m_processorShare;
   Term m_term = 0;
   LeaderRecord m_record;
+  bool m_recordRead = false;
   HostId m_leader;
   TimePoint m_leaderHeardAt;
   std::map<std::string, Candidate> m_candidates;
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -238,3 +238,41 @@
     CHECK(leadership.CanHandOver(At(6300)));
   }
 }
+
+TEST_CASE("a leader whose host runs another daemon is replaced without a wait",
+          "[keys]")
+{
+  // It has started long after the leader that claimed last.
+  Leadership leadership(LeadershipTimes{}, { "b", 60'000 }, 0.2, At(1000));
+  leadership.SetStoreWorks(At(1000), true);
+  leadership.OnRecord(At(1250), { 3, kOther, 0, 0 });
+  CHECK_FALSE(leadership.ShouldClaim(At(1300)));
+  SECTION("another daemon")
+  {
+    leadership.OnBeat(
+      At(1300), { "a", 21 }, 3, false, { false, {}, false, {}, 0.2 });
+    CHECK(leadership.ShouldClaim(At(1310)));
+  }
+  SECTION("this daemon")
+  {
+    leadership.OnRecord(At(1300), { 4, { "b", 9 }, 0, 0 });
+    CHECK(leadership.ShouldClaim(At(1310)));
+  }
+  SECTION("but not while one leads by a later claim")
+  {
+    leadership.OnBeat(
+      At(1290), { "c", 8 }, 4, true, { true, At(1290), false, {}, 0.2 });
+    leadership.OnBeat(
+      At(1300), { "a", 21 }, 3, false, { false, {}, false, {}, 0.2 });
+    CHECK_FALSE(leadership.ShouldClaim(At(1310)));
+  }
+}
+
+TEST_CASE("the first to claim read the record soon after their start", "[keys]")
+{
+  auto leadership = Follower();
+  CHECK_FALSE(leadership.ShouldRead(At(1100)));
+  CHECK(leadership.ShouldRead(At(1200)));
+  leadership.OnRecord(At(1210), { 3, kOther, 0, 0 });
+  CHECK_FALSE(leadership.ShouldRead(At(1300)));
+}
