A read that stays without an answer is made anew after 0.6 s

The store never answered one long poll, sent 6 ms before the record that it waited for was accepted; peers were ahead, but a call under way was left alone for 1.5 s, as a large answer may be slow, and then 0.45 s passed until it was looked at again. A leaving endpoint got work 2.03 s later. Ruled out: the daemon's parser (the bytes never came), the other topic's connection (served meanwhile). Change: a call is ended after 0.6 s unless some of its answer has come; a refused refresh is tried with the next beat. Why the store holds the call is noted as a question.

--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -106,12 +106,14 @@
     if (since == TimePoint{} && !missed) {
       since = now;
     } else if (missed || now >= since + kBehindFor) {
+      if (!reader->Refresh()) {
+        continue;
+      }
       since = {};
       m_log.Write(LogLine("reader-behind")
                     .Add("topic", topic)
                     .Add("have", reader->End())
                     .Add("peer_has", end->second));
-      reader->Refresh();
     }
   }
 }
@@ -185,7 +187,7 @@
   // Whoever may lead has to know whether it reaches the store.
   if (relayed && !m_storeWorks && aNow >= m_probedAt + kProbePausedEvery) {
     m_probedAt = aNow;
-    m_endpointReader.Refresh();
+    static_cast<void>(m_endpointReader.Refresh());
   }
 }
 
--- a/src/sapphirehook/http1/client.cpp
+++ b/src/sapphirehook/http1/client.cpp
@@ -46,6 +46,7 @@
 {
   m_busy = true;
   m_sent = false;
+  m_answerBegun = false;
   m_answer = {};
   m_handler = std::move(aHandler);
   m_request = SerializeCall(aCall, m_peer);
@@ -92,6 +93,7 @@
     CloseConnection(); // bytes that answer no call
     return;
   }
+  m_answerBegun = true;
   const std::size_t used = m_parser->Feed(aBytes);
   if (m_parser->Fault() != ParseFault::None ||
       (m_parser->IsComplete() && used < aBytes.size())) {
--- a/src/sapphirehook/http1/client.hpp
+++ b/src/sapphirehook/http1/client.hpp
@@ -71,6 +71,12 @@
 
   [[nodiscard]] bool IsBusy() const noexcept { return m_busy; }
 
+  /** Whether some of the answer to the call under way has come. */
+  [[nodiscard]] bool HasAnswerBegun() const noexcept
+  {
+    return m_busy && m_answerBegun;
+  }
+
   /** Number of connections opened so far; a change tells that the peer may
       have started anew in between. */
   [[nodiscard]] unsigned Connections() const noexcept { return m_connections; }
@@ -100,6 +106,7 @@
   std::string m_request;
   bool m_busy = false;
   bool m_sent = false;
+  bool m_answerBegun = false;
   unsigned m_connections = 0;
 };
 
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -71,13 +71,14 @@
   const bool isFresh =
     m_term != 0 ||
     aRecord.m_leader.m_incarnation + kFreshRun >= m_self.m_incarnation;
-  if (aRecord.m_term > m_term && isFresh) {
+  const bool isNew = aRecord.m_term > m_term;
+  m_record = aRecord;
+  m_term = std::max(m_term, aRecord.m_term);
+  if (isNew && isFresh && !RecordedRunHasEnded()) {
     // One that has just claimed is given the time to speak.
     m_leader = aRecord.m_leader;
     m_leaderHeardAt = aNow;
   }
-  m_record = aRecord;
-  m_term = std::max(m_term, aRecord.m_term);
   if (m_leads && aRecord.m_leader != m_self) {
     m_leads = false;
     m_idleSince = aNow;
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -12,6 +12,9 @@
 /** A call that waits for a record is given up this long after its wait; a slow
     store has been seen to take 0.3 s. */
 constexpr Millis kAnswerSlack{ 800 };
+/** An answer to what the store has at hand begins within this time; a slow
+   store has been seen to take 0.3 s. */
+constexpr Millis kFirstBytesWithin{ 600 };
 /** First pause after a call that was not served. */
 constexpr Millis kFirstPause{ 100 };
 
@@ -72,14 +75,17 @@
   Next(Millis(0));
 }
 
-void
+bool
 TopicReader::Refresh()
 {
-  if (m_client.IsBusy() && BootClock::now() < m_calledAt + kCallTimeout) {
-    return; // an answer may be on its way, slowly
+  const auto patience =
+    m_client.HasAnswerBegun() ? kCallTimeout : kFirstBytesWithin;
+  if (m_client.IsBusy() && BootClock::now() < m_calledAt + patience) {
+    return false;
   }
   m_client.Abort();
   Next(Millis(0));
+  return true;
 }
 
 void
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -54,8 +54,9 @@
   void Start();
 
   /** Ends the call under way, if any, and makes the next one on a new
-      connection at once. */
-  void Refresh();
+      connection at once. Returns false, and does nothing, while an answer to
+      that call may still come. */
+  bool Refresh();
 
   /** Makes a call that does not wait, in place of one that does, to learn
       whether the store answers. */
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -30,6 +30,9 @@
 
   /** Returns the body of the answer to a target; nothing leaves it open. */
   std::function<std::optional<std::string>(const std::string&)> m_answer;
+  /** Returns the first bytes of a body of a size, of which no more come. */
+  std::function<std::optional<std::string>(const std::string&)> m_partial;
+  std::size_t m_wholeSize = 0;
   std::vector<std::string> m_asked;
   sockaddr_in m_address{};
 
@@ -64,10 +67,15 @@
   {
     const auto target = aConnection.m_parser->Request().m_target;
     m_asked.push_back(target);
-    if (const auto body = m_answer(target)) {
-      aConnection.m_stream->Write(
-        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body->size()) +
-        "\r\n\r\n" + *body);
+    const auto send = [&](std::size_t aSize, const std::string& aBytes) {
+      aConnection.m_stream->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                  std::to_string(aSize) + "\r\n\r\n" + aBytes);
+    };
+    const auto partial = m_partial ? m_partial(target) : std::nullopt;
+    if (partial) {
+      send(m_wholeSize, *partial);
+    } else if (const auto body = m_answer(target)) {
+      send(body->size(), *body);
     }
   }
 
@@ -210,3 +218,35 @@
   CHECK(bed.m_store.m_asked.size() == asked);
   CHECK(bed.m_batches.empty());
 }
+
+TEST_CASE("a read that stays without an answer is made anew", "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  // The store holds the call open, though a record has come.
+  const auto asked = bed.m_store.m_asked.size();
+  CHECK_FALSE(bed.m_reader.Refresh());
+  bed.RunFor(Millis(650));
+  bed.m_page = Page(6, { { "b", "1" } });
+  CHECK(bed.m_reader.Refresh());
+  bed.RunFor(Millis(100));
+  CHECK(bed.m_store.m_asked.size() >= asked + 1);
+  CHECK(bed.m_given.back() == "b=1");
+}
+
+TEST_CASE("a large answer that comes slowly is waited for", "[store]")
+{
+  Bed bed;
+  const auto page = Page(6, { { "b", std::string(4000, 'x') } });
+  bed.m_reader.Start();
+  bed.m_store.m_partial = [&](const std::string& aTarget) {
+    return aTarget.find("log-read") != std::string::npos
+             ? std::optional(page.substr(0, 1000))
+             : std::nullopt;
+  };
+  bed.m_store.m_wholeSize = page.size();
+  bed.RunFor(Millis(800));
+  CHECK_FALSE(bed.m_reader.Refresh());
+  CHECK(bed.m_troubles == 0);
+}
