Refuse at once what would wait too long; a new leader speaks to all hosts

Cause: a request that found no room waited half of its objective and was refused then, also when all that waited before it took longer. And after an outage in a large fleet small hosts claimed one after the other: a new leader sent its beats to daemons heard of within a second, which followers of another leader are not, so that one lost datagram left a daemon without a leader for 2 s; and a paused daemon whose claim the store did not serve still counted itself as served. Ruled out: the load of small leaders alone (a large one was replaced as well). Change: daemons tell how many requests wait for an endpoint; with them a wait is reckoned, and a request refused as soon as it is too long, with the time until it is not in Retry-After. New leaders beat to every host for 3 s; a claim that the store does not serve counts as trouble; grants in a round go by processor.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "sapphirehook/gateway/internal/reader_times.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirehook {
@@ -26,6 +27,10 @@
     of its questions, one second apart. */
 constexpr Millis kLeaveRotation{ 2400 };
 constexpr Millis kStopTick{ 100 };
+/** Grants that a leader sends in one round, by its part of a core; each costs
+   it about 0.1 ms. */
+constexpr double kGrantsOfWholeCore = 80.0;
+constexpr std::size_t kLeastGrants = 8;
 /** Time before the end of the grace at which the process ends by itself. */
 constexpr Millis kStopMargin{ 300 };
 
@@ -49,6 +54,10 @@
   settings.m_processorShare = aSettings.m_processorShare;
   settings.m_keeper.m_hold =
     std::min(settings.m_keeper.m_hold, aSettings.m_maxHold);
+  settings.m_keeper.m_grantsPerRound = std::clamp(
+    static_cast<std::size_t>(kGrantsOfWholeCore * aSettings.m_processorShare),
+    kLeastGrants,
+    settings.m_keeper.m_grantsPerRound);
   settings.m_leadership.m_hold = settings.m_keeper.m_hold;
   return settings;
 }
@@ -107,6 +116,9 @@
   , m_directoryTimer(m_loop, [this] { OnEndpointsChanged(); })
 {
   m_ownership.m_onLeads = [this] { SendBeat(); };
+  m_ownership.m_onStoreTrouble = [this](StoreAnswer aAnswer) {
+    OnStoreTrouble("claim", aAnswer);
+  };
   m_engine.m_onMisdirected = [this](const std::string& aService) {
     m_ownership.AskForMap(aService);
   };
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -15,6 +15,8 @@
 /** In a large fleet the followers beat only at every so many of the leader's
     beats, which keeps their number at the leader down. */
 constexpr unsigned kFollowerBeats = 2;
+/** A new leader speaks to all hosts for this long. */
+constexpr Millis kNewLeader{ 3000 };
 /** The same for the leader, which finds a silent connection sooner. */
 constexpr ReaderTimes kLeaderReads{ Millis(2000), Millis(60) };
 /** While the leader does not reach the store, the others make a call this
@@ -147,6 +149,9 @@
     m_gossip.SendTo(leader->m_host, beat);
     beat.m_uses.clear();
     m_gossip.SendNext(beat);
+  } else if (beat.m_leads && now < m_ownership.LedSince() + kNewLeader) {
+    // Followers of another leader have not been heard of.
+    m_gossip.SendToEach(now, beat);
   } else {
     m_gossip.SendAll(now, beat);
   }
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -145,6 +145,9 @@
 {
   if (aPage.m_answer != StoreAnswer::Ok) {
     m_claiming = false;
+    if (m_onStoreTrouble) {
+      m_onStoreTrouble(aPage.m_answer);
+    }
     return;
   }
   if (m_newestAfter.empty()) {
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -77,7 +77,14 @@
   /** Called when this daemon begins to lead. */
   std::function<void()> m_onLeads;
 
+  /** Called when the store did not serve a claim. */
+  std::function<void(StoreAnswer)> m_onStoreTrouble;
+
   [[nodiscard]] bool Leads() const noexcept { return m_leadership.Leads(); }
+  [[nodiscard]] TimePoint LedSince() const noexcept
+  {
+    return m_leadership.LedSince();
+  }
 
   /** The leader last heard of; empty when it has been silent. */
   [[nodiscard]] std::optional<HostId> Leader(TimePoint aNow) const
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -23,8 +23,11 @@
 constexpr double kWaitPart = 0.5;
 /** Wait before a key is tried again that its holder refused. */
 constexpr Millis kMisdirectedPause{ 30 };
-/** Time after which a refused caller should come back. */
-constexpr Millis kRetryAfter{ 120 };
+/** Bounds of the time after which a refused caller should come back: some slots
+    are free again within a service; a longer wait than a second is as good as
+    none to callers that wait for two. */
+constexpr Millis kLeastRetryAfter{ 120 };
+constexpr Millis kMostRetryAfter{ 1000 };
 
 std::string_view
 EndName(AttemptEnd aEnd)
@@ -175,7 +178,8 @@
     return;
   }
   if (!transaction.m_upstream) {
-    Refuse(aTransaction, "body too large to wait for an endpoint");
+    Refuse(
+      aTransaction, "body too large to wait for an endpoint", kLeastRetryAfter);
     return;
   }
   transaction.m_bodyKept = false;
@@ -326,7 +330,7 @@
   } else if (transaction.m_mayHaveRun) {
     Fail(aTransaction, kBadGateway, "endpoint lost during the request");
   } else {
-    Refuse(aTransaction, EndName(aEnd));
+    Refuse(aTransaction, EndName(aEnd), ExpectedWait(now, transaction));
   }
 }
 
@@ -372,7 +376,7 @@
       if (transaction.m_mayHaveRun) {
         Fail(aTransaction, kGatewayTimeout, "no room for another attempt");
       } else {
-        Refuse(aTransaction, "no room in time");
+        Refuse(aTransaction, "no room in time", ExpectedWait(now, transaction));
       }
       return;
     }
@@ -451,14 +455,19 @@
 
 void
 RequestEngine::Refuse(const TransactionPtr& aTransaction,
-                      std::string_view aReason)
+                      std::string_view aReason,
+                      std::chrono::nanoseconds aComeBackAfter)
 {
   auto* sink = aTransaction->m_sink;
   ++m_counts.m_refused;
   LogRequest(*aTransaction, aReason, kUnavailable, LogRank::Event);
   Complete(aTransaction);
   if (sink != nullptr) {
-    AnswerDirectly(*sink, kUnavailable, aReason, kRetryAfter);
+    const auto after = std::chrono::duration_cast<Millis>(aComeBackAfter);
+    AnswerDirectly(*sink,
+                   kUnavailable,
+                   aReason,
+                   std::clamp(after, kLeastRetryAfter, kMostRetryAfter));
   }
 }
 
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -136,7 +136,8 @@
       continue;
     }
     const auto& use = *found->second;
-    endpoint->m_load.OnPeer(aNow, aPeer, { use.m_running, use.m_overdue });
+    endpoint->m_load.OnPeer(
+      aNow, aPeer, { use.m_running, use.m_overdue, use.m_waiting });
     endpoint->m_load.OnPeerAnswers(use.m_answers, Millis(use.m_serviceMs));
   }
 }
@@ -163,7 +164,8 @@
     load.OnPeer(aNow,
                 kFleet,
                 { others(use.m_running, own.m_running),
-                  others(use.m_overdue, own.m_overdue) });
+                  others(use.m_overdue, own.m_overdue),
+                  others(use.m_waiting, own.m_waiting) });
     load.OnFleetService(Millis(use.m_serviceMs));
   }
 }
@@ -191,6 +193,7 @@
       totals.push_back({ hash,
                          static_cast<std::uint32_t>(use.m_running),
                          static_cast<std::uint32_t>(use.m_overdue),
+                         static_cast<std::uint32_t>(use.m_waiting),
                          WholeMillis(load.ServiceTime()) });
     }
   }
@@ -204,10 +207,11 @@
   for (const auto& [name, endpoint] : m_endpoints) {
     const auto use = endpoint->m_load.OwnUse(aNow);
     const auto answers = endpoint->m_load.TakeAnswers();
-    if (use.m_running > 0 || answers.m_count > 0) {
+    if (use.m_running > 0 || use.m_waiting > 0 || answers.m_count > 0) {
       uses.push_back({ endpoint->m_hash,
                        static_cast<std::uint32_t>(use.m_running),
                        static_cast<std::uint32_t>(use.m_overdue),
+                       static_cast<std::uint32_t>(use.m_waiting),
                        static_cast<std::uint32_t>(answers.m_count),
                        WholeMillis(answers.m_service) });
     }
@@ -377,6 +381,12 @@
   if (endpoint != nullptr) {
     SendTo(now, aTransaction, *endpoint);
   } else {
+    const auto wait = ExpectedWait(now, *aTransaction);
+    const auto most = WaitsUntil(*aTransaction) - now;
+    if (wait > most && !aTransaction->m_mayHaveRun) {
+      Refuse(aTransaction, "too many wait", wait - most);
+      return;
+    }
     Enqueue(aTransaction);
   }
   if (!aTransaction->m_done) {
@@ -384,34 +394,69 @@
   }
 }
 
+std::chrono::nanoseconds
+RequestEngine::ExpectedWait(TimePoint aNow, const Transaction& aTransaction)
+{
+  auto& service = ServiceOf(aTransaction.m_service);
+  if (aTransaction.m_key) {
+    const auto* holder = HolderOf(aTransaction);
+    return holder != nullptr
+             ? holder->m_load.ExpectedWait(aNow, service.m_typical)
+             : std::chrono::nanoseconds(0);
+  }
+  // Each daemon is taken to have as many waiting as this one, and all endpoints
+  // to be busy.
+  std::chrono::duration<double> typical = service.m_typical;
+  double perSecond = 0.0;
+  for (const auto* endpoints : { &service.m_near, &service.m_far }) {
+    for (const auto* endpoint : *endpoints) {
+      perSecond +=
+        endpoint->m_usable ? static_cast<double>(endpoint->m_load.Slots()) : 0;
+    }
+  }
+  perSecond /= std::max(typical.count(), kLeastServiceSeconds);
+  const auto waiting =
+    static_cast<double>(service.m_waiting.size() * m_daemons);
+  return perSecond <= 0.0
+           ? std::chrono::nanoseconds(0)
+           : std::chrono::duration_cast<std::chrono::nanoseconds>(
+               std::chrono::duration<double>(waiting / perSecond));
+}
+
 RequestEngine::Endpoint*
 RequestEngine::Choose(TimePoint aNow, const Transaction& aTransaction)
 {
   if (aNow < aTransaction.m_notBefore) {
     return nullptr;
   }
-  auto& service = ServiceOf(aTransaction.m_service);
-  return aTransaction.m_key ? ChooseHolder(aNow, aTransaction, service)
-                            : ChooseAny(aNow, aTransaction, service);
+  return aTransaction.m_key
+           ? ChooseHolder(aNow, aTransaction)
+           : ChooseAny(aNow, aTransaction, ServiceOf(aTransaction.m_service));
 }
 
 RequestEngine::Endpoint*
-RequestEngine::ChooseHolder(TimePoint aNow,
-                            const Transaction& aTransaction,
-                            Service& aService)
+RequestEngine::ChooseHolder(TimePoint aNow, const Transaction& aTransaction)
 {
-  const auto* route = aService.m_ranges.Find(*aTransaction.m_key);
-  if (route == nullptr || !route->m_ready) {
+  auto* holder = HolderOf(aTransaction);
+  if (holder == nullptr) {
     return nullptr;
   }
-  const auto found = m_endpoints.find(route->m_endpoint);
-  if (found == m_endpoints.end()) {
+  const bool free = holder->m_usable && holder->m_load.HasRoom(aNow) &&
+                    !holder->m_load.IsEjected(aNow);
+  return free ? holder : nullptr;
+}
+
+/** Returns the endpoint that holds a request's key; null while it is moving. */
+RequestEngine::Endpoint*
+RequestEngine::HolderOf(const Transaction& aTransaction)
+{
+  const auto* route =
+    ServiceOf(aTransaction.m_service).m_ranges.Find(*aTransaction.m_key);
+  if (route == nullptr || !route->m_ready) {
     return nullptr;
   }
-  auto& endpoint = *found->second;
-  const bool free = endpoint.m_usable && endpoint.m_load.HasRoom(aNow) &&
-                    !endpoint.m_load.IsEjected(aNow);
-  return free ? &endpoint : nullptr;
+  const auto found = m_endpoints.find(route->m_endpoint);
+  return found == m_endpoints.end() ? nullptr : found->second.get();
 }
 
 RequestEngine::Endpoint*
@@ -456,6 +501,12 @@
     std::upper_bound(waiting.begin(), waiting.end(), aTransaction, isBefore);
   waiting.insert(at, aTransaction);
   aTransaction->m_waiting = true;
+  if (aTransaction->m_key) {
+    if (auto* holder = HolderOf(*aTransaction)) {
+      holder->m_load.OnWaits();
+      aTransaction->m_waitsFor = holder->m_record.m_life.m_name;
+    }
+  }
 }
 
 void
@@ -464,6 +515,11 @@
   if (aTransaction->m_waiting) {
     aTransaction->m_waiting = false;
     ServiceOf(aTransaction->m_service).m_waiting.remove(aTransaction);
+    const auto waitsFor = std::exchange(aTransaction->m_waitsFor, {});
+    const auto holder = m_endpoints.find(waitsFor);
+    if (holder != m_endpoints.end()) {
+      holder->second->m_load.OnWaitEnds();
+    }
   }
 }
 
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -47,11 +47,17 @@
   std::uint32_t m_endpoint = 0;
   std::uint32_t m_running = 0;
   std::uint32_t m_overdue = 0;
+  std::uint32_t m_waiting = 0;
   /** Answers since the last telling, and their mean time in milliseconds. */
   std::uint32_t m_answers = 0;
   std::uint32_t m_serviceMs = 0;
 
-  MSGPACK_DEFINE_ARRAY(m_endpoint, m_running, m_overdue, m_answers, m_serviceMs)
+  MSGPACK_DEFINE_ARRAY(m_endpoint,
+                       m_running,
+                       m_overdue,
+                       m_waiting,
+                       m_answers,
+                       m_serviceMs)
 };
 
 /** An endpoint's use by all daemons of a large fleet, as the leader tells. */
@@ -61,10 +67,11 @@
   std::uint32_t m_endpoint = 0;
   std::uint32_t m_running = 0;
   std::uint32_t m_overdue = 0;
+  std::uint32_t m_waiting = 0;
   /** Mean time of an answer in milliseconds; 0 while unknown. */
   std::uint32_t m_serviceMs = 0;
 
-  MSGPACK_DEFINE_ARRAY(m_endpoint, m_running, m_overdue, m_serviceMs)
+  MSGPACK_DEFINE_ARRAY(m_endpoint, m_running, m_overdue, m_waiting, m_serviceMs)
 };
 
 /** Brings requests to endpoints: admits, routes, queues, sends, repeats and
@@ -189,12 +196,16 @@
   [[nodiscard]] Endpoint* Choose(TimePoint aNow,
                                  const Transaction& aTransaction);
   [[nodiscard]] Endpoint* ChooseHolder(TimePoint aNow,
-                                       const Transaction& aTransaction,
-                                       Service& aService);
+                                       const Transaction& aTransaction);
   [[nodiscard]] Endpoint* ChooseAny(TimePoint aNow,
                                     const Transaction& aTransaction,
                                     const Service& aService);
   void IndexEndpoints();
+  /** Returns how long a request that found no room would wait. */
+  [[nodiscard]] std::chrono::nanoseconds ExpectedWait(
+    TimePoint aNow,
+    const Transaction& aTransaction);
+  [[nodiscard]] Endpoint* HolderOf(const Transaction& aTransaction);
   void Enqueue(const TransactionPtr& aTransaction);
   void Dequeue(const TransactionPtr& aTransaction);
   void SendTo(TimePoint aNow,
@@ -217,7 +228,9 @@
   void OnTimer(const TransactionPtr& aTransaction);
   void ArmTimer(const TransactionPtr& aTransaction);
   [[nodiscard]] TimePoint WaitsUntil(const Transaction& aTransaction);
-  void Refuse(const TransactionPtr& aTransaction, std::string_view aReason);
+  void Refuse(const TransactionPtr& aTransaction,
+              std::string_view aReason,
+              std::chrono::nanoseconds aComeBackAfter);
   void Fail(const TransactionPtr& aTransaction,
             int aStatus,
             std::string_view aReason);
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -71,6 +71,8 @@
   bool m_answering = false;
   bool m_done = false;
   bool m_waiting = false;
+  /** The endpoint that it waits for, if it waits for one only. */
+  std::string m_waitsFor;
   /** Sends that came back as sent to the wrong holder of the key. */
   unsigned m_misdirected = 0;
   TimePoint m_waitsFrom{};
--- a/src/sapphirehook/gossip/gossip.cpp
+++ b/src/sapphirehook/gossip/gossip.cpp
@@ -76,6 +76,16 @@
   }
 }
 
+void
+Gossip::SendToEach(TimePoint aNow, const GossipMessage& aMessage)
+{
+  const std::string bytes = Serialize(aMessage);
+  for (auto& [host, peer] : m_peers) {
+    peer.m_sentAt = aNow;
+    m_socket.Send(peer.m_address, bytes);
+  }
+}
+
 void
 Gossip::SendTo(const std::string& aHost, const GossipMessage& aMessage)
 {
--- a/src/sapphirehook/gossip/gossip.hpp
+++ b/src/sapphirehook/gossip/gossip.hpp
@@ -43,6 +43,9 @@
       and then. */
   void SendAll(TimePoint aNow, const GossipMessage& aMessage);
 
+  /** Sends to all daemons that were ever known. */
+  void SendToEach(TimePoint aNow, const GossipMessage& aMessage);
+
   void SendTo(const std::string& aHost, const GossipMessage& aMessage);
 
   /** Sends to the next daemon in turn, so that all are reached over time. */
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -138,6 +138,9 @@
 
   [[nodiscard]] bool Leads() const noexcept { return m_leads; }
 
+  /** When this daemon last began to lead. */
+  [[nodiscard]] TimePoint LedSince() const noexcept { return m_ledSince; }
+
   /** Whether this daemon may send orders as the leader. */
   [[nodiscard]] bool HasAuthority(TimePoint aNow) const noexcept
   {
--- a/src/sapphirehook/placement/endpoint_load.cpp
+++ b/src/sapphirehook/placement/endpoint_load.cpp
@@ -92,7 +92,7 @@
 void
 EndpointLoad::OnPeer(TimePoint aNow, const std::string& aPeer, Use aUse)
 {
-  if (aUse.m_running == 0) {
+  if (aUse.m_running == 0 && aUse.m_waiting == 0) {
     m_peers.erase(aPeer);
   } else {
     m_peers[aPeer] = { aUse, aNow };
@@ -163,7 +163,7 @@
       : std::count_if(m_sentAt.begin(), m_sentAt.end(), [&](TimePoint aSent) {
           return aNow - aSent > limit;
         });
-  return { running, static_cast<std::size_t>(overdue) };
+  return { running, static_cast<std::size_t>(overdue), m_waiting };
 }
 
 EndpointLoad::Use
@@ -174,6 +174,7 @@
     if (aNow < told.m_toldAt + kPeerWordLasts) {
       all.m_running += told.m_use.m_running;
       all.m_overdue += told.m_use.m_overdue;
+      all.m_waiting += told.m_use.m_waiting;
     }
   }
   return all;
@@ -197,6 +198,19 @@
   return aNow < m_fullUntil ? 0 : m_slots + kExtra;
 }
 
+std::chrono::nanoseconds
+EndpointLoad::ExpectedWait(TimePoint aNow,
+                           std::chrono::nanoseconds aTypical) const
+{
+  const auto known = ServiceTime();
+  const auto service = known > std::chrono::nanoseconds(0) ? known : aTypical;
+  const Use all = AllUse(aNow);
+  const std::size_t limit = m_slots + kExtra;
+  const std::size_t over = all.m_running > limit ? all.m_running - limit : 0;
+  const auto ahead = static_cast<double>(all.m_waiting + over);
+  return Scaled(service, ahead / static_cast<double>(m_slots));
+}
+
 std::chrono::nanoseconds
 EndpointLoad::ExpectedFinish(TimePoint aNow,
                              std::chrono::nanoseconds aTypical,
--- a/src/sapphirehook/placement/endpoint_load.hpp
+++ b/src/sapphirehook/placement/endpoint_load.hpp
@@ -50,11 +50,12 @@
              double aTurns);
 
   /** Requests at an endpoint: all, and those that have lasted much longer than
-      is usual there. */
+      is usual there; and those that wait at daemons for it, and no other. */
   struct Use
   {
     std::size_t m_running = 0;
     std::size_t m_overdue = 0;
+    std::size_t m_waiting = 0;
   };
 
   /** A peer told how many of its requests are at the endpoint. */
@@ -69,6 +70,15 @@
 
   /** This daemon's own. */
   [[nodiscard]] Use OwnUse(TimePoint aNow) const;
+
+  /** A request begins to wait for this endpoint, or waits no more. */
+  void OnWaits() noexcept { ++m_waiting; }
+  void OnWaitEnds() noexcept { m_waiting -= m_waiting > 0 ? 1 : 0; }
+
+  /** Time that a request which begins to wait for this endpoint would wait. */
+  [[nodiscard]] std::chrono::nanoseconds ExpectedWait(
+    TimePoint aNow,
+    std::chrono::nanoseconds aTypical) const;
   [[nodiscard]] std::size_t OwnRunning() const noexcept
   {
     return m_sentAt.size();
@@ -136,6 +146,7 @@
   std::size_t m_slots;
   /** When each of this daemon's requests there was sent. */
   std::vector<TimePoint> m_sentAt;
+  std::size_t m_waiting = 0;
   std::map<std::string, PeerUse> m_peers;
   [[nodiscard]] double Turns(double aRunning) const noexcept;
   void AddAnswers(std::size_t aAnswers,
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -638,3 +638,27 @@
   bed.m_engine.CloseIdleCallers();
   CHECK(bed.Until([&] { return bed.m_callerEnded; }));
 }
+
+TEST_CASE("a request that would wait too long is refused at once", "[gateway]")
+{
+  Bed bed;
+  bed.List("keyed");
+  bed.m_engine.SetRange("keyed", { { 0, 65535 }, "one", true });
+  EndpointUse use;
+  use.m_endpoint = static_cast<std::uint32_t>(StableHash("one"));
+  use.m_running = 8;
+  const auto ask = [&](std::uint32_t aWaiting) {
+    use.m_waiting = aWaiting;
+    bed.m_engine.OnPeerUse(BootClock::now(), "peer", { use });
+    const TimePoint asked = BootClock::now();
+    const auto answer =
+      bed.Ask("/keyed/x", "a", "X-Sapphirehook-Shard-Key: 77\r\n");
+    CHECK(Bed::Is(answer, 503));
+    CHECK(answer.find("Retry-After") != std::string::npos);
+    return BootClock::now() - asked;
+  };
+  // Half of the objective is 200 ms; an answer takes 100 ms in each of 6 slots.
+  CHECK(ask(30) < Millis(100));
+  CHECK(ask(3) > Millis(150));
+  CHECK(bed.Arrived() == 0);
+}
--- a/test/sapphirehook/placement/decisions.cpp
+++ b/test/sapphirehook/placement/decisions.cpp
@@ -157,3 +157,16 @@
   CHECK_FALSE(load.HasRoom(At(100)));
   CHECK(load.Running(At(5000)) == 0);
 }
+
+TEST_CASE("the wait for an endpoint grows with all that wait for it",
+          "[placement][crest]")
+{
+  EndpointLoad load(6);
+  CHECK(load.ExpectedWait(At(0), Millis(60)) == Millis(0));
+  load.OnWaits();
+  load.OnPeer(At(0), "p", { 8, 0, 5 });
+  CHECK(load.ExpectedWait(At(10), Millis(60)) == Millis(60));
+  load.OnWaitEnds();
+  CHECK(load.ExpectedWait(At(10), Millis(60)) == Millis(50));
+  CHECK(load.ExpectedWait(At(5000), Millis(60)) == Millis(0));
+}
