--- a/src/sapphirehook/gateway/internal/reader_times.hpp
+++ b/src/sapphirehook/gateway/internal/reader_times.hpp
@@ -10,8 +10,8 @@
     after records that gathers those that follow. Changes must be in force
     within 2 s. */
 inline constexpr ReaderTimes kReads{ Millis(8000), Millis(60) };
-/** The same at the start, when a daemon of a large fleet has not heard the leader
-    yet, and need not read by itself once it has. */
+/** The same at the start, when a daemon of a large fleet has not heard the
+   leader yet, and need not read by itself once it has. */
 inline constexpr ReaderTimes kFirstReads{ Millis(8000), Millis(400) };
 
 } // namespace sapphirehook::internal
--- a/src/sapphirehook/placement/arrival_budget.cpp
+++ b/src/sapphirehook/placement/arrival_budget.cpp
@@ -5,8 +5,8 @@
 namespace {
 
 /** Parts of the allowances that are used. The rest covers requests that are
-    counted in another window, and daemons that start anew with a whole part of the
-    slack. */
+    counted in another window, and daemons that start anew with a whole part of
+   the slack. */
 constexpr double kUsedPart = 0.9;
 constexpr double kUsedSlack = 0.8;
 
