An endpoint counts as ended only when a list read after the refusal shows it

The leader took an endpoint whose port refused connections as ended and gave its keys on; an endpoint that leaves stops to listen while it still works, and the leader's list was old. Ruled out: grants carried out late, a second leader, clocks (the earlier holder was at work by an unexpired hold of the same leader each time). Change: a refusal proves the end only when the endpoint had not announced that it closes, and a list read to its end after the refusal has it neither removed nor leaving; the leader reads the list anew for that. One small HTTP server for the balancer, metrics and tests; a stream that closes after its last write tells when it has ended.

--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -14,9 +14,6 @@
 /** Bytes of an answer that may wait for a caller that reads slowly. */
 constexpr std::size_t kMaxUnsent = std::size_t{ 4 } << 20U;
 
-/** How long a finished connection stays for its peer to read the answer. */
-constexpr Millis kLinger{ 1000 };
-
 constexpr int kBadRequest = 400;
 constexpr int kTimeout = 408;
 constexpr int kTooLarge = 413;
@@ -179,9 +176,9 @@
 CallerConnection::OnTimer()
 {
   const auto self = shared_from_this();
-  if (!m_finishing && m_parser.IsInMessage() && !m_headRead) {
+  if (m_parser.IsInMessage() && !m_headRead) {
     Refuse(kTimeout, "request head took too long");
-  } else if (m_finishing || !IsBusy()) {
+  } else if (!IsBusy()) {
     Close();
   }
 }
@@ -293,7 +290,7 @@
   if (m_closeAfter) {
     m_finishing = true;
     m_stream.CloseAfterWrite();
-    m_timer.Start(kLinger);
+    m_timer.Stop();
     return;
   }
   if (m_requestRead && !m_parsing) {
--- a/src/sapphirehook/gateway/endpoint_orders.cpp
+++ b/src/sapphirehook/gateway/endpoint_orders.cpp
@@ -52,15 +52,18 @@
 HttpClient*
 EndpointOrders::FreeGrantClient()
 {
-  for (const auto& client : m_grantClients) {
-    if (!client->IsBusy()) {
-      return client.get();
-    }
-  }
   if (m_grantClients.size() < kGrantClients) {
     m_grantClients.push_back(std::make_unique<HttpClient>(m_loop, m_address));
     return m_grantClients.back().get();
   }
+  // In turn, so that all stay connected: while one ends, another shows that the
+  // endpoint has not started anew.
+  for (std::size_t i = 0; i < m_grantClients.size(); ++i) {
+    m_lastClient = (m_lastClient + 1) % m_grantClients.size();
+    if (!m_grantClients[m_lastClient]->IsBusy()) {
+      return m_grantClients[m_lastClient].get();
+    }
+  }
   return nullptr;
 }
 
@@ -120,8 +123,8 @@
     m_queue.pop_front();
     client->Call(m_protocol.m_grant(grant.m_order),
                  kGrantTimeout,
-                 [this, id = grant.m_id](const CallResult& aResult) {
-                   NoteResult(aResult);
+                 [this, client, id = grant.m_id](const CallResult& aResult) {
+                   NoteResult(aResult, *client);
                    m_events.m_onGrantEnd(id, m_protocol.m_parseOrder(aResult));
                    SendNext();
                  });
@@ -143,22 +146,24 @@
   }
   client->Call(m_protocol.m_release(aRelease.m_order),
                kReleaseTimeout,
-               [this, id = aRelease.m_id](const CallResult& aResult) {
+               [this, client, id = aRelease.m_id](const CallResult& aResult) {
                  if (aResult.m_end != CallEnd::NoAnswer) {
-                   NoteResult(aResult);
+                   NoteResult(aResult, *client);
                  }
                  m_events.m_onReleaseEnd(id, m_protocol.m_parseOrder(aResult));
                });
 }
 
 void
-EndpointOrders::NoteResult(const CallResult& aResult)
+EndpointOrders::NoteResult(const CallResult& aResult, const HttpClient& aClient)
 {
   const TimePoint now = BootClock::now();
   if (aResult.m_end == CallEnd::Answered) {
     m_answeredAt = now;
     m_unanswered = 0;
     m_refusedAt = {};
+    m_refusedSince.reset();
+    m_announcedClose = !aClient.IsConnected();
     m_connectedBefore = true;
     return;
   }
@@ -168,8 +173,8 @@
     m_refusedAt = {};
   } else if (m_refusedAt == TimePoint{}) {
     m_refusedAt = now;
-  } else if (now >= m_refusedAt + kRefusedApart) {
-    m_dead = true;
+  } else if (now >= m_refusedAt + kRefusedApart && !m_refusedSince) {
+    m_refusedSince = now;
   }
 }
 
--- a/src/sapphirehook/gateway/endpoint_orders.hpp
+++ b/src/sapphirehook/gateway/endpoint_orders.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,16 +43,20 @@
   /** Whether no order has been answered for too long though some wait. */
   [[nodiscard]] bool IsSilent(TimePoint aNow) const noexcept;
 
-  /** Whether nothing listens at the address any more: refused again and again
-      with no connection left. */
-  [[nodiscard]] bool IsDead() const noexcept { return m_dead; }
+  /** Since when nothing has listened at the address: refused again and again
+      with no connection left, though the endpoint had not announced that it
+      closes. One that leaves stops to listen while it still works. */
+  [[nodiscard]] std::optional<TimePoint> RefusedSince() const noexcept
+  {
+    return m_announcedClose ? std::nullopt : m_refusedSince;
+  }
 
   [[nodiscard]] const EndpointLife& Life() const noexcept { return m_life; }
 
 private:
   void SendNext();
   void DropQueue();
-  void NoteResult(const CallResult& aResult);
+  void NoteResult(const CallResult& aResult, const HttpClient& aClient);
   [[nodiscard]] HttpClient* FreeGrantClient();
   [[nodiscard]] bool HasConnection() const;
 
@@ -70,7 +75,10 @@
   TimePoint m_refusedAt{};
   bool m_connectedBefore = false;
   bool m_reconnecting = false;
-  bool m_dead = false;
+  std::optional<TimePoint> m_refusedSince;
+  /** Its last answer said that the connection ends. */
+  bool m_announcedClose = false;
+  std::size_t m_lastClient = 0;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -21,6 +21,9 @@
 constexpr Millis kDrainMargin{ 400 };
 /** Removals within this time after trouble with the store may be lapses. */
 constexpr Millis kLapseWindow{ 2500 };
+/** The list of endpoints is read anew at most this often, to tell whether one
+    that refuses connections is leaving. */
+constexpr Millis kProbeEvery{ 200 };
 /** Removed endpoints are forgotten after this. */
 constexpr Millis kForgetAfter{ 60'000 };
 /** After the signal to stop, the balancer sends new connections for up to two
@@ -102,14 +105,17 @@
       MakeReader(m_protocol.m_endpointTopic, &Gateway::OnEndpoint))
   , m_callers(m_loop, [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
   , m_ready(m_loop,
-            [this](const std::string& aTarget) {
-              const bool ready = aTarget == m_protocol.m_readyPath && IsReady();
-              return StatusServer::Reply{ ready ? kOk : kUnavailable,
-                                          ready ? "ready" : "not ready" };
+            [this](const HttpExchangePtr& aExchange) {
+              const bool ready =
+                aExchange->m_head.m_target == m_protocol.m_readyPath &&
+                IsReady();
+              aExchange->Answer({ ready ? kOk : kUnavailable,
+                                  "text/plain",
+                                  ready ? "ready" : "not ready" });
             })
   , m_metrics(m_loop,
-              [this](const std::string& /*aTarget*/) {
-                return StatusServer::Reply{ kOk, Metrics() };
+              [this](const HttpExchangePtr& aExchange) {
+                aExchange->Answer({ kOk, "text/plain", Metrics() });
               })
   , m_beatTimer(m_loop, [this] { SendBeat(); })
   , m_stopTimer(m_loop, [this] { OnStopTick(); })
@@ -119,6 +125,9 @@
   m_ownership.m_onStoreTrouble = [this](StoreAnswer aAnswer) {
     OnStoreTrouble("claim", aAnswer);
   };
+  m_ownership.m_listReadAt = [this](TimePoint aWanted) {
+    return EndpointsReadAt(aWanted);
+  };
   m_engine.m_onMisdirected = [this](const std::string& aService) {
     m_ownership.AskForMap(aService);
   };
@@ -142,7 +151,10 @@
         Offset aFrom, Offset aNext, const std::vector<KeyedRecord>& aRecords) {
         RelayBatch({ aTopic, aFrom, aNext, aRecords });
       },
-      [this, aTopic](Offset, TimePoint) { OnStoreWorks(aTopic); },
+      [this, aTopic](Offset, TimePoint aProvenAt) {
+        m_readAt[aTopic] = aProvenAt;
+        OnStoreWorks(aTopic);
+      },
       [this, aTopic](StoreAnswer aAnswer) { OnStoreTrouble(aTopic, aAnswer); } }
   };
 }
@@ -300,6 +312,18 @@
   return !m_storeWorks || isRecent(m_troubleAt) || isRecent(m_peerTroubleAt);
 }
 
+TimePoint
+Gateway::EndpointsReadAt(TimePoint aWanted)
+{
+  const TimePoint readAt = m_readAt[m_protocol.m_endpointTopic];
+  const TimePoint now = BootClock::now();
+  if (readAt < aWanted && now >= m_probedAt + kProbeEvery) {
+    m_probedAt = now;
+    m_endpointReader.Probe();
+  }
+  return readAt;
+}
+
 void
 Gateway::OnStoreTrouble(std::string_view aTopic, StoreAnswer aAnswer)
 {
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -4,7 +4,7 @@
 #include "sapphirehook/gateway/host_registry.hpp"
 #include "sapphirehook/gateway/ownership.hpp"
 #include "sapphirehook/gateway/settings.hpp"
-#include "sapphirehook/gateway/status_server.hpp"
+#include "sapphirehook/http1/server.hpp"
 
 #include <absl/status/status.h>
 #include <string>
@@ -52,6 +52,7 @@
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool IsLargeFleet() const noexcept;
   [[nodiscard]] bool MayHaveLapsed(TimePoint aNow) const;
+  [[nodiscard]] TimePoint EndpointsReadAt(TimePoint aWanted);
   [[nodiscard]] std::string Metrics() const;
 
   GatewaySettings m_settings;
@@ -66,8 +67,8 @@
   TopicReader m_configReader;
   TopicReader m_endpointReader;
   TcpListener m_callers;
-  StatusServer m_ready;
-  StatusServer m_metrics;
+  HttpServer m_ready;
+  HttpServer m_metrics;
   Timer m_beatTimer;
   Timer m_stopTimer;
   Timer m_directoryTimer;
@@ -76,6 +77,8 @@
   unsigned m_beats = 0;
   bool m_storeWorks = false;
   TimePoint m_storeProvenAt{};
+  /** When each followed topic was last read to its end. */
+  std::map<std::string, TimePoint> m_readAt;
   TimePoint m_probedAt{};
   TimePoint m_troubleAt{};
   TimePoint m_peerTroubleAt{};
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -77,6 +77,10 @@
   /** Called when this daemon begins to lead. */
   std::function<void()> m_onLeads;
 
+  /** Returns when the list of endpoints was last read to its end; when that is
+      before the given time, it is read anew. */
+  std::function<TimePoint(TimePoint aWanted)> m_listReadAt;
+
   /** Called when the store did not serve a claim. */
   std::function<void(StoreAnswer)> m_onStoreTrouble;
 
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -113,7 +113,13 @@
     const auto orders = m_orders.find(name);
     if (orders != m_orders.end() && orders->second->Life() == endpoint.m_life) {
       endpoint.m_silent = orders->second->IsSilent(aNow);
-      endpoint.m_dead = orders->second->IsDead();
+      const auto refused = orders->second->RefusedSince();
+      const bool asks = refused && m_listReadAt;
+      endpoint.m_dead =
+        HasEnded({ refused,
+                   known.m_removedAt.has_value(),
+                   known.m_record.m_draining,
+                   asks ? m_listReadAt(*refused) : TimePoint{} });
     }
     endpoint.m_capacity = m_engine.CapacityOf(name);
     endpoints.push_back(std::move(endpoint));
--- a/src/sapphirehook/http1/fwd.hpp
+++ b/src/sapphirehook/http1/fwd.hpp
@@ -8,6 +8,8 @@
 struct RequestHead;
 struct ResponseHead;
 class MessageParser;
+class HttpServer;
+class HttpExchange;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/keys/range_keeper.hpp
+++ b/src/sapphirehook/keys/range_keeper.hpp
@@ -69,6 +69,30 @@
   double m_capacity = 1.0;
 };
 
+/** What tells whether an endpoint has ended. */
+struct EndSigns
+{
+  /** Since when its port has refused connections, after all earlier ones broke
+      unannounced. */
+  std::optional<TimePoint> m_refusedSince;
+  bool m_removed = false;
+  bool m_draining = false;
+  /** The list of endpoints was read at this time or later. */
+  TimePoint m_listReadAt{};
+};
+
+/** Whether an endpoint has ended for certain, so that it holds nothing. One
+    that leaves refuses connections while it still works, and a list read
+    before the refusal does not show that it leaves; their holds are waited
+    for. */
+[[nodiscard]] constexpr bool
+HasEnded(const EndSigns& aSigns) noexcept
+{
+  return aSigns.m_refusedSince &&
+         aSigns.m_listReadAt >= *aSigns.m_refusedSince && !aSigns.m_removed &&
+         !aSigns.m_draining;
+}
+
 /** An order that is to be sent to an endpoint. */
 struct EndpointGrant
 {
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -41,11 +41,7 @@
   , m_events(std::move(aEvents))
   , m_watcher(aLoop, [this](int aWhich) { OnEvents(aWhich); })
   , m_timer(aLoop, [this] {
-    if (m_closing) {
-      Close();
-    } else {
-      End(StreamEnd::ConnectTimeout);
-    }
+    End(m_closing ? StreamEnd::Closed : StreamEnd::ConnectTimeout);
   })
 {
 }
@@ -177,9 +173,8 @@
   if (m_socket < 0 && aEnd != StreamEnd::ConnectTimeout) {
     return;
   }
-  const bool silent = m_closing;
   Close();
-  if (!silent && m_events.m_onEnd) {
+  if (m_events.m_onEnd) {
     m_events.m_onEnd(aEnd);
   }
 }
--- /dev/null
+++ b/test/sapphirehook/gateway/endpoint_orders.cpp
@@ -0,0 +1,120 @@
+#include "sapphirehook/gateway/endpoint_orders.hpp"
+
+#include "platform/protocol.hpp"
+#include "sapphirehook/http1/server.hpp"
+#include "support/loopback.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirehook;
+
+namespace {
+
+/** Orders to an endpoint that can leave in an orderly way, or crash. */
+class Bed
+{
+public:
+  Bed()
+    : m_address(support::FreeAddress())
+    , m_server(m_loop,
+               [this](const HttpExchangePtr& aExchange) {
+                 HttpReply reply;
+                 reply.m_closes = m_leaving;
+                 aExchange->Answer(reply);
+               })
+    , m_orders(m_loop,
+               m_protocol,
+               Record(),
+               { [this](std::uint64_t, const OrderAnswer& aAnswer) {
+                  m_ends.push_back(aAnswer.m_end);
+                },
+                 nullptr,
+                 [this] { ++m_newConnections; } })
+  {
+    REQUIRE(m_server.Listen(m_address));
+  }
+
+  [[nodiscard]] EndpointRecord Record() const
+  {
+    EndpointRecord record;
+    record.m_life = { "e", 1 };
+    record.m_address = m_address;
+    return record;
+  }
+
+  /** Sends grants until one has ended in a way; false when none did. */
+  bool GrantUntil(OrderEnd aEnd)
+  {
+    for (int i = 0; i < 10; ++i) {
+      const auto before = m_ends.size();
+      m_orders.Grant({ ++m_id, "e", { { 0, 9 }, 1, Millis(4000), "" } });
+      static_cast<void>(support::RunUntil(
+        m_loop, [&] { return m_ends.size() > before; }, Millis(500)));
+      if (!m_ends.empty() && m_ends.back() == aEnd) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** The first refusal may come while an old connection still seems open. */
+  void RefuseForAWhile()
+  {
+    for (int i = 0; i < 3; ++i) {
+      REQUIRE(GrantUntil(OrderEnd::Refused));
+      support::RunFor(m_loop, Millis(120));
+    }
+  }
+
+  EventLoop m_loop;
+  GatewayProtocol m_protocol = platform::Protocol();
+  sockaddr_in m_address;
+  bool m_leaving = false;
+  HttpServer m_server;
+  EndpointOrders m_orders;
+  std::uint64_t m_id = 0;
+  std::vector<OrderEnd> m_ends;
+  unsigned m_newConnections = 0;
+};
+
+} // namespace
+
+TEST_CASE("an endpoint that crashed refuses connections", "[gateway]")
+{
+  Bed bed;
+  REQUIRE(bed.GrantUntil(OrderEnd::Done));
+  CHECK_FALSE(bed.m_orders.RefusedSince());
+  const TimePoint before = BootClock::now();
+  bed.m_server.StopListening();
+  bed.m_server.ResetAll();
+  bed.RefuseForAWhile();
+  REQUIRE(bed.m_orders.RefusedSince());
+  CHECK(*bed.m_orders.RefusedSince() > before);
+}
+
+TEST_CASE("an endpoint that announced its close does not count as crashed",
+          "[gateway]")
+{
+  Bed bed;
+  REQUIRE(bed.GrantUntil(OrderEnd::Done));
+  bed.m_leaving = true;
+  REQUIRE(bed.GrantUntil(OrderEnd::Done));
+  bed.m_server.StopListening();
+  bed.m_server.ResetAll();
+  bed.RefuseForAWhile();
+  CHECK_FALSE(bed.m_orders.RefusedSince());
+}
+
+TEST_CASE("an endpoint that answers again does not count as crashed",
+          "[gateway]")
+{
+  Bed bed;
+  REQUIRE(bed.GrantUntil(OrderEnd::Done));
+  bed.m_server.StopListening();
+  bed.m_server.ResetAll();
+  bed.RefuseForAWhile();
+  REQUIRE(bed.m_server.Listen(bed.m_address));
+  REQUIRE(bed.GrantUntil(OrderEnd::Done));
+  CHECK_FALSE(bed.m_orders.RefusedSince());
+  CHECK(bed.m_newConnections > 0);
+}
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -2,12 +2,10 @@
 
 #include "platform/protocol.hpp"
 #include "sapphirehook/core/text.hpp"
+#include "support/loopback.hpp"
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <deque>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace sapphirehook;
 
@@ -15,21 +13,6 @@
 
 constexpr Millis kPatience{ 3000 };
 
-/** Loopback addresses, each with a port that is free. */
-sockaddr_in
-FreeAddress()
-{
-  const int probe = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  REQUIRE(bind(probe, reinterpret_cast<sockaddr*>(&address), size) == 0);
-  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-  close(probe);
-  return address;
-}
-
 /** An endpoint that does what a script says with each request it is sent. */
 class ScriptedEndpoint
 {
@@ -45,7 +28,7 @@
   ScriptedEndpoint(EventLoop& aLoop, std::string aName)
     : m_loop(aLoop)
     , m_name(std::move(aName))
-    , m_address(FreeAddress())
+    , m_address(support::FreeAddress())
     , m_listener(aLoop, [this](int aSocket) { Accept(aSocket); })
   {
     REQUIRE(m_listener.Listen(m_address));
@@ -155,7 +138,7 @@
     : m_protocol(platform::Protocol())
     , m_log("test")
     , m_engine(m_loop, m_protocol, m_log, { "z", BudgetConfig{} })
-    , m_address(FreeAddress())
+    , m_address(support::FreeAddress())
     , m_listener(m_loop,
                  [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
     , m_directory(Millis(1600))
@@ -187,17 +170,7 @@
   /** Handles events until a condition holds; false when it never did. */
   bool Until(const std::function<bool()>& aCondition, Millis aFor = kPatience)
   {
-    const TimePoint end = BootClock::now() + aFor;
-    bool held = false;
-    Timer timer(m_loop, [&] {
-      held = aCondition();
-      if (held || BootClock::now() >= end) {
-        m_loop.Stop();
-      }
-    });
-    timer.StartEvery(Millis(2));
-    m_loop.Run();
-    return held;
+    return support::RunUntil(m_loop, aCondition, aFor);
   }
 
   /** Connects the caller and sends bytes. */
--- a/test/sapphirehook/keys/range_keeper.cpp
+++ b/test/sapphirehook/keys/range_keeper.cpp
@@ -477,6 +477,20 @@
 
 } // namespace
 
+TEST_CASE("an endpoint has ended only when a later list shows it in service",
+          "[keys]")
+{
+  const TimePoint refused = TimePoint{} + Millis(1000);
+  const TimePoint before = refused - Millis(1);
+  CHECK(HasEnded({ refused, false, false, refused }));
+  // A leaving endpoint stops to listen while it still works, and the list read
+  // before does not tell.
+  CHECK_FALSE(HasEnded({ refused, false, false, before }));
+  CHECK_FALSE(HasEnded({ refused, true, false, refused }));
+  CHECK_FALSE(HasEnded({ refused, false, true, refused }));
+  CHECK_FALSE(HasEnded({ std::nullopt, false, false, refused }));
+}
+
 TEST_CASE("no key has two holders, whatever is lost, late or started anew",
           "[keys][search]")
 {
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -1,8 +1,8 @@
 #include "sapphirehook/store/topic_reader.hpp"
 
 #include "platform/protocol.hpp"
+#include "support/loopback.hpp"
 
-#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 
 using namespace sapphirehook;
@@ -14,17 +14,10 @@
 {
 public:
   explicit FakeStore(EventLoop& aLoop)
-    : m_loop(aLoop)
+    : m_address(support::FreeAddress())
+    , m_loop(aLoop)
     , m_listener(aLoop, [this](int aSocket) { Accept(aSocket); })
   {
-    m_address.sin_family = AF_INET;
-    m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
-    auto* address = reinterpret_cast<sockaddr*>(&m_address);
-    socklen_t size = sizeof m_address;
-    REQUIRE(bind(probe, address, size) == 0);
-    getsockname(probe, address, &size);
-    close(probe);
     REQUIRE(m_listener.Listen(m_address));
   }
 
@@ -34,7 +27,7 @@
   std::function<std::optional<std::string>(const std::string&)> m_partial;
   std::size_t m_wholeSize = 0;
   std::vector<std::string> m_asked;
-  sockaddr_in m_address{};
+  sockaddr_in m_address;
 
 private:
   struct Connection
