Maps go out by block, at a limited rate; claims grow rare; a new leader knows its map

A daemon that knows the map is sent nothing by a new leader. Each change of leader beyond two in 8 s doubles the silence that is waited for, and a daemon that hears nobody waits 2 s. A leader puts its own map in force when it begins: until now it learned only of changes.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
+#include "sapphirehook/gateway/internal/fleet_size.hpp"
 #include "sapphirehook/gateway/internal/reader_times.hpp"
 
 #include <algorithm>
@@ -13,9 +14,6 @@
 
 /** Time between two beats to the peers. */
 constexpr Millis kBeatEvery{ 150 };
-/** Up to this many daemons each one tells all others of itself; beyond, all
-    tell the leader, which keeps the number of messages linear. */
-constexpr std::size_t kSmallFleet = 16;
 /** An entry that may have lapsed counts as removed this long before a leaving
     endpoint must get no more work, which covers the way to the endpoint. */
 constexpr Millis kDrainMargin{ 400 };
@@ -34,6 +32,10 @@
    it about 0.1 ms. */
 constexpr double kGrantsOfWholeCore = 200.0;
 constexpr std::size_t kLeastGrants = 8;
+/** Part of a leader's link that the maps other daemons ask for may take. */
+constexpr double kMapPart = 0.25;
+constexpr double kMegabit = 1e6; // bits
+constexpr double kByteBits = 8.0;
 /** Time before the end of the grace at which the process ends by itself. */
 constexpr Millis kStopMargin{ 300 };
 
@@ -62,6 +64,8 @@
     kLeastGrants,
     settings.m_keeper.m_grantsPerRound);
   settings.m_leadership.m_hold = settings.m_keeper.m_hold;
+  settings.m_mapBytesPerSecond =
+    kMapPart * aSettings.m_linkMbps * kMegabit / kByteBits;
   return settings;
 }
 
@@ -128,8 +132,8 @@
   m_ownership.m_listReadAt = [this](TimePoint aWanted) {
     return EndpointsReadAt(aWanted);
   };
-  m_engine.m_onMisdirected = [this](const std::string& aService) {
-    m_ownership.AskForMap(aService);
+  m_engine.m_onMisdirected = [this](const std::string& aService, Key aKey) {
+    m_ownership.OnMisdirected(aService, aKey);
   };
 }
 
--- a/src/sapphirehook/gateway/internal/ownership_records.hpp
+++ b/src/sapphirehook/gateway/internal/ownership_records.hpp
@@ -3,8 +3,6 @@
 
 #include "sapphirehook/core/time.hpp"
 
-#include <cstddef>
-
 /** Keys of the ownership topic, and limits of calls about it. */
 namespace sapphirehook::internal {
 
@@ -13,8 +11,6 @@
 inline constexpr const char* kLeaderKey = "leader";
 inline constexpr const char* kRangePrefix = "ranges/";
 inline constexpr Millis kStoreTimeout{ 1200 };
-/** Routes in one datagram; it then fits the usual 1,500 bytes. */
-inline constexpr std::size_t kRoutesPerPage = 40;
 
 } // namespace sapphirehook::internal
 
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -18,8 +18,6 @@
 constexpr Millis kPlanEvery{ 200 };
 /** A leader's reads wait this long, since each proves its term anew. */
 constexpr ReaderTimes kLeaderReads{ Millis(1000), Millis(300) };
-/** A follower asks for a map at most this often. */
-constexpr Millis kAskEvery{ 60 };
 /** Time between two tries to claim. */
 constexpr Millis kClaimEvery{ 300 };
 /** A round that comes this late tells that the daemon did not run. */
@@ -45,6 +43,7 @@
                  aGossip.Self(),
                  aSettings.m_processorShare,
                  BootClock::now())
+  , m_maps(aLoop, aGossip, aEngine, aSettings.m_mapBytesPerSecond)
   , m_writer(aLoop, aSettings.m_store)
   , m_timer(aLoop, [this] { Tick(); })
   , m_planTimer(aLoop, [this] { Plan(); })
@@ -75,9 +74,7 @@
   const auto services = KeyedServices();
   return std::all_of(
     services.begin(), services.end(), [&](const std::string& aName) {
-      return m_led.contains(aName) ||
-             (m_followed.contains(aName) &&
-              m_followed.at(aName).m_version.m_term != 0);
+      return m_led.contains(aName) || m_engine.Ranges(aName).IsComplete();
     });
 }
 
@@ -225,6 +222,7 @@
   m_led.clear();
   m_orders.clear();
   m_tickAllAt = {};
+  m_maps.BeginLeading(m_claimTerm);
   SyncServices(BootClock::now());
   m_reader = std::make_unique<TopicReader>(
     m_loop,
@@ -295,10 +293,8 @@
   }
   m_log.Write(
     LogLine("stops-leading").Add("term", m_claimTerm).Add("why", aWhy));
-  for (auto& [name, led] : m_led) {
-    m_followed[name].m_version = { m_claimTerm, led.m_changes };
-  }
   m_led.clear();
+  m_maps.StopLeading();
   m_writer.Abort();
   m_appendBusy = false;
   m_appending.clear();
@@ -328,7 +324,7 @@
                                m_leadership.ResignedEnds() - BootClock::now())
                                .count();
   for (const auto& [name, led] : m_led) {
-    aBeat.m_maps[name] = { m_claimTerm, led.m_changes };
+    aBeat.m_maps[name] = m_maps.Digests(name);
   }
   if (aBeat.m_leads) {
     const TimePoint now = BootClock::now();
@@ -353,16 +349,11 @@
 }
 
 void
-Ownership::AskForMap(const std::string& aService)
+Ownership::OnMisdirected(const std::string& aService, Key aKey)
 {
-  const TimePoint now = BootClock::now();
-  const auto leader = m_leadership.Leader(now);
-  auto& followed = m_followed[aService];
-  if (!leader || m_leadership.Leads() || now < followed.m_askedAt + kAskEvery) {
-    return;
+  if (!m_leadership.Leads()) {
+    m_maps.OnMisdirected(m_leadership.Leader(BootClock::now()), aService, aKey);
   }
-  followed.m_askedAt = now;
-  m_gossip.SendTo(leader->m_host, RouteRequest{ aService });
 }
 
 void
@@ -388,12 +379,14 @@
     if (led != m_led.end()) {
       led->second.m_planner.Add(report->m_counts);
     }
-  } else if (const auto* change = std::get_if<RouteChange>(&aMessage)) {
-    OnRouteChange(aFrom, *change);
+  } else if (const auto* update = std::get_if<RouteUpdate>(&aMessage)) {
+    if (!m_leadership.Leads() && update->m_term >= m_leadership.HighestTerm()) {
+      m_maps.OnUpdate(*update);
+    }
   } else if (const auto* request = std::get_if<RouteRequest>(&aMessage)) {
-    SendMap(aFrom.m_host, request->m_service);
-  } else if (const auto* page = std::get_if<RoutePage>(&aMessage)) {
-    OnRoutePage(aFrom, *page);
+    if (m_led.contains(request->m_service)) {
+      m_maps.OnRequest(aFrom, *request);
+    }
   } else if (const auto* resigned = std::get_if<Resignation>(&aMessage)) {
     m_leadership.OnResigned(
       now, aFrom, resigned->m_term, Millis(resigned->m_grantsEndInMs));
@@ -402,80 +395,13 @@
 }
 
 void
-Ownership::OnLeaderBeat(const HostId& /*aFrom*/, const Beat& aBeat)
+Ownership::OnLeaderBeat(const HostId& aFrom, const Beat& aBeat)
 {
-  if (!aBeat.m_leads || m_leadership.Leads()) {
-    return;
-  }
-  m_leadership.SetHeirs(aBeat.m_heirs);
-  for (const auto& [name, version] : aBeat.m_maps) {
-    if (m_followed[name].m_version < version) {
-      AskForMap(name);
-    }
-  }
-}
-
-void
-Ownership::OnRouteChange(const HostId& /*aFrom*/, const RouteChange& aChange)
-{
-  auto& followed = m_followed[aChange.m_service];
-  if (m_leadership.Leads() || aChange.m_to <= followed.m_version) {
-    return;
-  }
-  // Routes in any order do no harm: endpoints refuse what they do not hold.
-  for (const auto& route : aChange.m_routes) {
-    m_engine.SetRange(aChange.m_service, route);
-  }
-  if (aChange.m_from == followed.m_version) {
-    followed.m_version = aChange.m_to;
-  } else {
-    AskForMap(aChange.m_service);
-  }
-  m_engine.Pump();
-}
-
-void
-Ownership::SendMap(const std::string& aTo, const std::string& aService)
-{
-  const auto led = m_led.find(aService);
-  if (led == m_led.end()) {
-    return;
-  }
-  const auto routes = led->second.m_keeper.Routes();
-  const auto pages = (routes.size() + kRoutesPerPage - 1) / kRoutesPerPage;
-  for (std::size_t page = 0; page < pages; ++page) {
-    const auto first = page * kRoutesPerPage;
-    const auto last = std::min(first + kRoutesPerPage, routes.size());
-    RoutePage message;
-    message.m_service = aService;
-    message.m_version = { m_claimTerm, led->second.m_changes };
-    message.m_page = static_cast<unsigned>(page);
-    message.m_pages = static_cast<unsigned>(pages);
-    message.m_routes.assign(routes.begin() + static_cast<long>(first),
-                            routes.begin() + static_cast<long>(last));
-    m_gossip.SendTo(aTo, message);
-  }
-}
-
-void
-Ownership::OnRoutePage(const HostId& /*aFrom*/, const RoutePage& aPage)
-{
-  auto& followed = m_followed[aPage.m_service];
-  if (m_leadership.Leads() || aPage.m_version < followed.m_version) {
-    return;
-  }
-  if (followed.m_collecting != aPage.m_version) {
-    followed.m_collecting = aPage.m_version;
-    followed.m_pages.clear();
-  }
-  for (const auto& route : aPage.m_routes) {
-    m_engine.SetRange(aPage.m_service, route);
-  }
-  followed.m_pages.insert(aPage.m_page);
-  if (followed.m_pages.size() == aPage.m_pages) {
-    followed.m_version = aPage.m_version;
+  if (aBeat.m_leads && !m_leadership.Leads() &&
+      aBeat.m_term >= m_leadership.HighestTerm()) {
+    m_leadership.SetHeirs(aBeat.m_heirs);
+    m_maps.OnDigests(aFrom, aBeat.m_maps);
   }
-  m_engine.Pump();
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -3,8 +3,7 @@
 
 #include "sapphirehook/core/event_log.hpp"
 #include "sapphirehook/gateway/endpoint_orders.hpp"
-#include "sapphirehook/gateway/request_engine.hpp"
-#include "sapphirehook/gossip/gossip.hpp"
+#include "sapphirehook/gateway/map_exchange.hpp"
 #include "sapphirehook/keys/leadership.hpp"
 #include "sapphirehook/keys/range_planner.hpp"
 #include "sapphirehook/store/topic_reader.hpp"
@@ -24,6 +23,8 @@
   double m_processorShare = 0.0;
   LeadershipTimes m_leadership;
   KeeperTimes m_keeper;
+  /** What a leader may send of its maps when asked, in bytes a second. */
+  double m_mapBytesPerSecond = 0.0;
 };
 
 /** This daemon's part in key ownership: as the leader it gives ranges to
@@ -58,8 +59,8 @@
   /** Sends the leader the counts of keys. */
   void ReportKeys();
 
-  /** Asks the leader for a service's map; at most a few times a second. */
-  void AskForMap(const std::string& aService);
+  /** An endpoint refused a key that it holds by this daemon's map. */
+  void OnMisdirected(const std::string& aService, Key aKey);
 
   /** Steps down, so that another daemon can take over at once. */
   void Resign();
@@ -114,16 +115,6 @@
 
     RangeKeeper m_keeper;
     RangePlanner m_planner;
-    std::uint64_t m_changes = 1;
-  };
-
-  /** A follower's view of one service's map. */
-  struct Followed
-  {
-    MapVersion m_version;
-    MapVersion m_collecting;
-    std::set<unsigned> m_pages;
-    TimePoint m_askedAt{};
   };
 
   void Tick();
@@ -154,12 +145,6 @@
   std::vector<KeeperEndpoint> KeeperEndpoints(TimePoint aNow,
                                               const std::string& aService);
   EndpointOrders* OrdersOf(const std::string& aEndpoint);
-  void PublishRoutes(const std::string& aService,
-                     Led& aLed,
-                     const std::vector<RangeRoute>& aRoutes);
-  void SendMap(const std::string& aTo, const std::string& aService);
-  void OnRouteChange(const HostId& aFrom, const RouteChange& aChange);
-  void OnRoutePage(const HostId& aFrom, const RoutePage& aPage);
   void OnLeaderBeat(const HostId& aFrom, const Beat& aBeat);
   [[nodiscard]] std::set<std::string> KeyedServices() const;
 
@@ -171,6 +156,7 @@
   RequestEngine& m_engine;
   const EndpointDirectory& m_directory;
   Leadership m_leadership;
+  MapExchange m_maps;
   std::unique_ptr<TopicReader> m_reader;
   HttpClient m_writer;
   Timer m_timer;
@@ -201,7 +187,6 @@
   TimePoint m_appendSentAt{};
   TimePoint m_appendedAt{};
 
-  std::map<std::string, Followed> m_followed;
   /** When the first endpoint of a service was seen. */
   std::map<std::string, TimePoint> m_seenSince;
 };
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -96,6 +96,10 @@
     const std::size_t most = std::max(kFirstRanges, endpoints);
     led.m_keeper.CoverAll(
       static_cast<unsigned>(std::min(endpoints * kRangesPerEndpoint, most)));
+    // This daemon may know no map yet; the others ask for what differs.
+    for (const auto& route : led.m_keeper.Routes()) {
+      m_engine.SetRange(name, route);
+    }
   }
 }
 
@@ -219,32 +223,7 @@
       aLed.m_keeper.OnReleaseEnd(aNow, release.m_id, { OrderEnd::NotSent, "" });
     }
   }
-  PublishRoutes(aName, aLed, aActions.m_routes);
-}
-
-void
-Ownership::PublishRoutes(const std::string& aService,
-                         Led& aLed,
-                         const std::vector<RangeRoute>& aRoutes)
-{
-  if (aRoutes.empty()) {
-    return;
-  }
-  const TimePoint now = BootClock::now();
-  for (const auto& route : aRoutes) {
-    m_engine.SetRange(aService, route);
-  }
-  for (std::size_t first = 0; first < aRoutes.size(); first += kRoutesPerPage) {
-    RouteChange change;
-    change.m_service = aService;
-    change.m_from = { m_claimTerm, aLed.m_changes };
-    change.m_to = { m_claimTerm, ++aLed.m_changes };
-    const auto last = std::min(first + kRoutesPerPage, aRoutes.size());
-    change.m_routes.assign(aRoutes.begin() + static_cast<long>(first),
-                           aRoutes.begin() + static_cast<long>(last));
-    m_gossip.SendAll(now, change);
-  }
-  m_engine.Pump();
+  m_maps.Publish(aName, aActions.m_routes);
 }
 
 void
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -296,7 +296,7 @@
     transaction.m_notBefore = now + kMisdirectedPause;
     transaction.m_tried.erase(transaction.m_sentTo);
     if (m_onMisdirected) {
-      m_onMisdirected(transaction.m_service);
+      m_onMisdirected(transaction.m_service, *transaction.m_key);
     }
   }
   AttemptState state;
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -94,6 +94,12 @@
   /** Takes in where a service's keys are. */
   void SetRange(const std::string& aService, const RangeRoute& aRoute);
 
+  /** Returns where a service's keys are, as far as this daemon knows. */
+  [[nodiscard]] const RangeMap& Ranges(const std::string& aService)
+  {
+    return ServiceOf(aService).m_ranges;
+  }
+
   /** Sends what waits and can be sent by now. */
   void Pump();
 
@@ -141,7 +147,7 @@
   }
 
   /** Called when an endpoint refused a key that the map says it holds. */
-  std::function<void(const std::string& aService)> m_onMisdirected;
+  std::function<void(const std::string& aService, Key aKey)> m_onMisdirected;
 
   // CallerEvents
   TransactionPtr OnRequest(AnswerSink& aSink, RequestHead&& aHead) override;
--- a/src/sapphirehook/gateway/settings.cpp
+++ b/src/sapphirehook/gateway/settings.cpp
@@ -61,6 +61,7 @@
   settings.m_metrics = AddressSetting(aRoot, "metrics");
   settings.m_store = AddressSetting(aRoot, "store");
   settings.m_processorShare = Setting<double>(aRoot, "processor_share");
+  settings.m_linkMbps = Setting<double>(aRoot, "link_mbps");
   settings.m_retryBudget.m_ratio = Setting<double>(aRoot, "retry_budget_ratio");
   settings.m_retryBudget.m_slack = Setting<double>(aRoot, "retry_budget_slack");
   settings.m_retryBudget.m_window =
--- a/src/sapphirehook/gateway/settings.hpp
+++ b/src/sapphirehook/gateway/settings.hpp
@@ -27,6 +27,8 @@
   /** Part of a core that the host gives this process; the daemon with most
       is the first to lead. */
   double m_processorShare = 0.0;
+  /** Speed of the host's link, in megabits a second. */
+  double m_linkMbps = 0.0;
   BudgetConfig m_retryBudget;
   /** Longest hold that endpoints accept. */
   Millis m_maxHold{};
--- a/src/sapphirehook/gossip/fwd.hpp
+++ b/src/sapphirehook/gossip/fwd.hpp
@@ -7,9 +7,8 @@
 
 struct Beat;
 struct KeyReport;
-struct RouteChange;
+struct RouteUpdate;
 struct RouteRequest;
-struct RoutePage;
 struct Resignation;
 struct TopicBatch;
 struct TopicRelay;
--- a/src/sapphirehook/gossip/gossip.cpp
+++ b/src/sapphirehook/gossip/gossip.cpp
@@ -87,11 +87,11 @@
 }
 
 void
-Gossip::SendTo(const std::string& aHost, const GossipMessage& aMessage)
+Gossip::SendSerialized(const std::string& aHost, std::string_view aDatagram)
 {
   const auto peer = m_peers.find(aHost);
   if (peer != m_peers.end()) {
-    m_socket.Send(peer->second.m_address, Serialize(aMessage));
+    m_socket.Send(peer->second.m_address, aDatagram);
   }
 }
 
--- a/src/sapphirehook/gossip/gossip.hpp
+++ b/src/sapphirehook/gossip/gossip.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace sapphirehook {
 
@@ -46,7 +47,15 @@
   /** Sends to all daemons that were ever known. */
   void SendToEach(TimePoint aNow, const GossipMessage& aMessage);
 
-  void SendTo(const std::string& aHost, const GossipMessage& aMessage);
+  void SendTo(const std::string& aHost, const GossipMessage& aMessage)
+  {
+    SendSerialized(aHost, Serialize(aMessage));
+  }
+
+  /** Returns the datagram of a message, which may be sent to several. */
+  [[nodiscard]] std::string Serialize(const GossipMessage& aMessage) const;
+
+  void SendSerialized(const std::string& aHost, std::string_view aDatagram);
 
   /** Sends to the next daemon in turn, so that all are reached over time. */
   void SendNext(const GossipMessage& aMessage);
@@ -65,7 +74,6 @@
 
 private:
   void OnDatagram(const sockaddr_in& aFrom, std::string_view aBytes);
-  [[nodiscard]] std::string Serialize(const GossipMessage& aMessage) const;
 
   HostId m_self;
   Handler m_onMessage;
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -36,8 +36,8 @@
   /** Offsets that the sender has read of the topics all daemons follow. */
   std::map<std::string, Offset> m_ends;
   std::vector<EndpointUse> m_uses;
-  /** For each keyed service, the leader's state of its map. */
-  std::map<std::string, MapVersion> m_maps;
+  /** From the leader: for each keyed service, the digests of its map. */
+  std::map<std::string, std::vector<BlockDigest>> m_maps;
   /** From the leader: how many daemons there are, who should claim next, and
       in a large fleet the use of endpoints by all daemons. */
   std::uint32_t m_daemons = 0;
@@ -70,35 +70,26 @@
   MSGPACK_DEFINE_ARRAY(m_service, m_counts)
 };
 
-/** What the leader has changed in a service's map. */
-struct RouteChange
+/** Routes of a service as a leader has set them: what it has just changed, or
+    what it was asked for. Sent in any order, and more than once, they do no
+    harm: endpoints refuse what they do not hold. */
+struct RouteUpdate
 {
   std::string m_service;
-  MapVersion m_from;
-  MapVersion m_to;
+  Term m_term = 0;
   std::vector<RangeRoute> m_routes;
 
-  MSGPACK_DEFINE_ARRAY(m_service, m_from, m_to, m_routes)
+  MSGPACK_DEFINE_ARRAY(m_service, m_term, m_routes)
 };
 
-/** Asks the leader for a service's whole map. */
+/** Asks the leader for blocks of a service's map, where they differ from what
+    the sender knows. */
 struct RouteRequest
 {
   std::string m_service;
+  std::vector<BlockState> m_known;
 
-  MSGPACK_DEFINE_ARRAY(m_service)
-};
-
-/** A part of a service's whole map. */
-struct RoutePage
-{
-  std::string m_service;
-  MapVersion m_version;
-  unsigned m_page = 0;
-  unsigned m_pages = 0;
-  std::vector<RangeRoute> m_routes;
-
-  MSGPACK_DEFINE_ARRAY(m_service, m_version, m_page, m_pages, m_routes)
+  MSGPACK_DEFINE_ARRAY(m_service, m_known)
 };
 
 /** A leader that steps down in an orderly way. */
@@ -111,13 +102,8 @@
   MSGPACK_DEFINE_ARRAY(m_term, m_grantsEndInMs)
 };
 
-using GossipMessage = std::variant<Beat,
-                                   KeyReport,
-                                   RouteChange,
-                                   RouteRequest,
-                                   RoutePage,
-                                   Resignation,
-                                   TopicRelay>;
+using GossipMessage = std::
+  variant<Beat, KeyReport, RouteUpdate, RouteRequest, Resignation, TopicRelay>;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -39,6 +39,15 @@
 constexpr Millis kLeadsAtLeast{ 4000 };
 /** A daemon that did not run hears the leader within this time again. */
 constexpr Millis kHearAgain{ 300 };
+/** Leaders that replace each other in quick succession do not hear each other,
+    or are too busy to speak: after this many within this time each change
+    doubles the silence that is waited for, up to a factor. */
+constexpr std::size_t kUsualChanges = 2;
+constexpr Millis kChangesWithin{ 8000 };
+constexpr std::size_t kMostDoublings = 2;
+/** A daemon that hears none of the others may be the one that is cut off; it
+    waits this long before it claims. A lost leader's grants last longer. */
+constexpr Millis kWaitAlone{ 2000 };
 /** One that has stepped down does not claim again for this long. */
 constexpr Millis kRestAfterResigning{ 5000 };
 
@@ -72,12 +81,16 @@
     m_term != 0 ||
     aRecord.m_leader.m_incarnation + kFreshRun >= m_self.m_incarnation;
   const bool isNew = aRecord.m_term > m_term;
+  if (isNew && m_term != 0) {
+    OnLeaderChange(aNow);
+  }
   m_record = aRecord;
   m_term = std::max(m_term, aRecord.m_term);
   if (isNew && isFresh && !RecordedRunHasEnded()) {
     // One that has just claimed is given the time to speak.
     m_leader = aRecord.m_leader;
     m_leaderHeardAt = aNow;
+    m_vacantSince.reset();
   }
   if (m_leads && aRecord.m_leader != m_self) {
     m_leads = false;
@@ -102,8 +115,12 @@
   m_candidates[aFrom.m_host] = aCandidate;
   m_candidates[aFrom.m_host].m_heardAt = aNow;
   if (aLeads && aTerm >= m_term) {
+    if (aTerm > m_term && m_term != 0) {
+      OnLeaderChange(aNow);
+    }
     m_leader = aFrom;
     m_leaderHeardAt = aNow;
+    m_vacantSince.reset();
   }
   if (m_leads && aLeads && aTerm > m_record.m_term) {
     m_leads = false; // a later leader has claimed
@@ -124,7 +141,7 @@
 {
   if (aTerm >= m_term && aFrom != m_self) {
     m_leader = {};
-    m_leaderHeardAt = aNow - m_times.m_silence;
+    m_vacantSince = aNow;
     m_resignedTerm = aTerm;
     m_resignedEnds = aNow + aEnds;
   }
@@ -134,7 +151,55 @@
 Leadership::OnPause(TimePoint aNow) noexcept
 {
   m_leaderHeardAt =
-    std::max(m_leaderHeardAt, aNow - m_times.m_silence + kHearAgain);
+    std::max(m_leaderHeardAt, aNow - Silence(aNow) + kHearAgain);
+}
+
+void
+Leadership::OnLeaderChange(TimePoint aNow)
+{
+  m_leaderChanges.push_back(aNow);
+  if (m_leaderChanges.size() > kUsualChanges + kMostDoublings) {
+    m_leaderChanges.pop_front();
+  }
+}
+
+/** How long a leader is not heard of before it counts as lost. */
+Millis
+Leadership::Silence(TimePoint aNow) const
+{
+  const auto recent = static_cast<std::size_t>(std::count_if(
+    m_leaderChanges.begin(), m_leaderChanges.end(), [&](TimePoint aWhen) {
+      return aNow < aWhen + kChangesWithin;
+    }));
+  const auto doublings =
+    recent > kUsualChanges ? recent - kUsualChanges : std::size_t{ 0 };
+  return m_times.m_silence * (1U << doublings);
+}
+
+/** Whether other hosts are known and none is heard of. */
+bool
+Leadership::IsAlone(TimePoint aNow) const
+{
+  return !m_candidates.empty() &&
+         std::none_of(
+           m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
+             return aNow < aOne.second.m_heardAt + kCandidateFor;
+           });
+}
+
+/** Since when there has been no leader. */
+TimePoint
+Leadership::LostSince(TimePoint aNow) const
+{
+  if (m_vacantSince) {
+    return *m_vacantSince;
+  }
+  if (RecordedRunHasEnded() && m_leader == HostId{}) {
+    return m_startedAt; // its silence tells nothing more
+  }
+  const Millis silence = Silence(aNow);
+  return m_leaderHeardAt +
+         (IsAlone(aNow) ? std::max(silence, kWaitAlone) : silence);
 }
 
 bool
@@ -213,13 +278,9 @@
        aNow < m_resignedAt + kRestAfterResigning)) {
     return false;
   }
-  // Silence tells nothing more once the leader's host runs another daemon.
-  const TimePoint lost = RecordedRunHasEnded() && m_leader == HostId{}
-                           ? m_startedAt
-                           : m_leaderHeardAt + m_times.m_silence;
   // After an outage all daemons reach the store at once, and take their turns
   // from then on.
-  const TimePoint since = std::max(lost, m_storeSince);
+  const TimePoint since = std::max(LostSince(aNow), m_storeSince);
   return aNow >= since + Rank(aNow) * m_times.m_stagger;
 }
 
@@ -351,6 +412,7 @@
   m_idleSince = aNow;
   m_resignedAt = aNow;
   m_leaderHeardAt = aNow;
+  m_vacantSince.reset();
 }
 
 std::optional<HostId>
@@ -359,7 +421,7 @@
   if (m_leads) {
     return m_self;
   }
-  if (m_leader.m_host.empty() || aNow >= m_leaderHeardAt + m_times.m_silence) {
+  if (m_leader.m_host.empty() || aNow >= m_leaderHeardAt + Silence(aNow)) {
     return std::nullopt;
   }
   return m_leader;
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -173,6 +174,10 @@
   [[nodiscard]] std::optional<HostId> Leader(TimePoint aNow) const;
 
 private:
+  void OnLeaderChange(TimePoint aNow);
+  [[nodiscard]] Millis Silence(TimePoint aNow) const;
+  [[nodiscard]] bool IsAlone(TimePoint aNow) const;
+  [[nodiscard]] TimePoint LostSince(TimePoint aNow) const;
   [[nodiscard]] TimePoint PredecessorEnds(TimePoint aNow) const;
   [[nodiscard]] int Rank(TimePoint aNow) const;
   [[nodiscard]] bool CouldLead(TimePoint aNow,
@@ -193,6 +198,10 @@
   bool m_recordRead = false;
   HostId m_leader;
   TimePoint m_leaderHeardAt;
+  /** When the last leader stepped down, while no other has been heard of. */
+  std::optional<TimePoint> m_vacantSince;
+  /** When the last leaders were first heard of. */
+  std::deque<TimePoint> m_leaderChanges;
   std::map<std::string, Candidate> m_candidates;
   std::vector<std::string> m_heirs;
   bool m_leads = false;
--- a/src/sapphirehook/keys/range.hpp
+++ b/src/sapphirehook/keys/range.hpp
@@ -16,6 +16,13 @@
 /** Number of different keys. */
 inline constexpr std::uint32_t kKeyCount = 65'536;
 
+/** Keys of a block: assignments are stored, and other daemons told of them, by
+    the block, so that a change rewrites little. */
+inline constexpr std::uint32_t kBlockKeys = 4096;
+
+/** Number of blocks. */
+inline constexpr unsigned kBlocks = kKeyCount / kBlockKeys;
+
 /** A number that grows with each change of a key's holder; an endpoint
     refuses orders with a lower number than it has seen. */
 using Fence = std::uint64_t;
--- a/src/sapphirehook/keys/range_keeper.hpp
+++ b/src/sapphirehook/keys/range_keeper.hpp
@@ -300,9 +300,6 @@
   using BasicRangeKeeper::BasicRangeKeeper;
 };
 
-/** Keys are stored in blocks of this many, so that a change rewrites little. */
-inline constexpr std::uint32_t kStoreBlockKeys = 4096;
-
 } // namespace sapphirehook
 
 #endif
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -52,7 +52,7 @@
 BasicRangeKeeper<Rules>::CoverAll(unsigned aRanges)
 {
   const std::uint32_t size =
-    std::clamp<std::uint32_t>(kKeyCount / aRanges, 1, kStoreBlockKeys);
+    std::clamp<std::uint32_t>(kKeyCount / aRanges, 1, kBlockKeys);
   for (std::uint32_t first = 0; first < kKeyCount;) {
     const auto after = m_ranges.lower_bound(static_cast<Key>(first));
     const std::uint32_t limit =
@@ -62,8 +62,7 @@
       continue;
     }
     // A range lies within one block, so that storing its block stores it.
-    const std::uint32_t blockEnd =
-      (first / kStoreBlockKeys + 1) * kStoreBlockKeys;
+    const std::uint32_t blockEnd = (first / kBlockKeys + 1) * kBlockKeys;
     const std::uint32_t end =
       std::min({ limit, (first / size + 1) * size, blockEnd });
     Range range;
@@ -351,8 +350,8 @@
   };
   return aLower.m_owner == aUpper.m_owner && isQuiet(aLower) &&
          isQuiet(aUpper) &&
-         aLower.m_range.m_first / kStoreBlockKeys ==
-           aUpper.m_range.m_last / kStoreBlockKeys;
+         aLower.m_range.m_first / kBlockKeys ==
+           aUpper.m_range.m_last / kBlockKeys;
 }
 
 template<typename Rules>
@@ -597,16 +596,16 @@
     }
     range.m_phase = Phase::Storing;
     range.m_fence = m_nextFence++;
-    blocks.insert(first / kStoreBlockKeys);
+    blocks.insert(first / kBlockKeys);
   }
   std::vector<StoreBlock> stored;
   for (const unsigned block : blocks) {
     StoreBlock& one = stored.emplace_back();
     one.m_block = block;
     const auto begin =
-      m_ranges.lower_bound(static_cast<Key>(block * kStoreBlockKeys));
+      m_ranges.lower_bound(static_cast<Key>(block * kBlockKeys));
     for (auto at = begin;
-         at != m_ranges.end() && at->first / kStoreBlockKeys == block;
+         at != m_ranges.end() && at->first / kBlockKeys == block;
          ++at) {
       const auto& range = at->second;
       const auto& owner =
--- a/src/sapphirehook/keys/range_map.cpp
+++ b/src/sapphirehook/keys/range_map.cpp
@@ -1,6 +1,10 @@
 #include "sapphirehook/keys/range_map.hpp"
 
+#include "sapphirehook/core/hash.hpp"
+
+#include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace sapphirehook {
 
@@ -33,6 +37,11 @@
   m_routes.erase(m_routes.lower_bound(range.m_first),
                  m_routes.upper_bound(range.m_last));
   m_routes.emplace(range.m_first, aRoute);
+  for (unsigned block = range.m_first / kBlockKeys;
+       block <= range.m_last / kBlockKeys;
+       ++block) {
+    m_digests.at(block).reset();
+  }
 }
 
 const RangeRoute*
@@ -47,14 +56,60 @@
 }
 
 std::vector<RangeRoute>
-RangeMap::All() const
+RangeMap::Block(unsigned aBlock) const
+{
+  const auto first = static_cast<Key>(aBlock * kBlockKeys);
+  const auto last = static_cast<Key>(first + kBlockKeys - 1);
+  std::vector<RangeRoute> routes;
+  auto at = m_routes.upper_bound(first);
+  at = at == m_routes.begin() ? at : std::prev(at);
+  for (; at != m_routes.end() && at->first <= last; ++at) {
+    RangeRoute route = at->second;
+    if (route.m_range.m_last < first) {
+      continue;
+    }
+    route.m_range.m_first = std::max(route.m_range.m_first, first);
+    route.m_range.m_last = std::min(route.m_range.m_last, last);
+    const bool joins =
+      !routes.empty() &&
+      routes.back().m_range.m_last + 1U == route.m_range.m_first &&
+      routes.back().m_endpoint == route.m_endpoint &&
+      routes.back().m_ready == route.m_ready;
+    if (joins) {
+      routes.back().m_range.m_last = route.m_range.m_last;
+    } else {
+      routes.push_back(std::move(route));
+    }
+  }
+  return routes;
+}
+
+BlockDigest
+RangeMap::Digest(unsigned aBlock) const
+{
+  auto& digest = m_digests.at(aBlock);
+  if (!digest) {
+    std::uint64_t hash = 0;
+    for (const auto& route : Block(aBlock)) {
+      const std::uint64_t ends =
+        std::uint64_t{ route.m_range.m_first } * kKeyCount +
+        route.m_range.m_last;
+      hash = StableHash(route.m_endpoint,
+                        MixHashes(hash, ends * 2 + (route.m_ready ? 1 : 0)));
+    }
+    digest = static_cast<BlockDigest>(hash);
+  }
+  return *digest;
+}
+
+bool
+RangeMap::IsComplete() const
 {
-  std::vector<RangeRoute> all;
-  all.reserve(m_routes.size());
+  std::uint32_t covered = 0;
   for (const auto& [first, route] : m_routes) {
-    all.push_back(route);
+    covered += route.m_range.Size();
   }
-  return all;
+  return covered == kKeyCount;
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/keys/range_map.hpp
+++ b/src/sapphirehook/keys/range_map.hpp
@@ -3,7 +3,9 @@
 
 #include "sapphirehook/keys/range.hpp"
 
+#include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,15 +24,18 @@
   bool operator==(const RangeRoute&) const = default;
 };
 
-/** Orders the states of a service's range map: term of the leader, then a
-    count of changes. */
-struct MapVersion
+/** A digest of the routes of a block. Two daemons with the same digest send the
+    block's requests to the same endpoints. */
+using BlockDigest = std::uint32_t;
+
+/** What a daemon knows of one block. */
+struct BlockState
 {
-  Term m_term = 0;
-  std::uint64_t m_changes = 0;
+  unsigned m_block = 0;
+  BlockDigest m_digest = 0;
 
-  MSGPACK_DEFINE_ARRAY(m_term, m_changes)
-  auto operator<=>(const MapVersion&) const = default;
+  MSGPACK_DEFINE_ARRAY(m_block, m_digest)
+  auto operator<=>(const BlockState&) const = default;
 };
 
 /** A daemon's view of which endpoint holds which keys. It may be behind: the
@@ -44,15 +49,21 @@
   /** Returns the route of a key, or null when none is known. */
   [[nodiscard]] const RangeRoute* Find(Key aKey) const;
 
-  [[nodiscard]] std::vector<RangeRoute> All() const;
+  /** Returns the routes of a block, in as few ranges as possible. */
+  [[nodiscard]] std::vector<RangeRoute> Block(unsigned aBlock) const;
+
+  [[nodiscard]] BlockDigest Digest(unsigned aBlock) const;
 
-  [[nodiscard]] bool IsEmpty() const noexcept { return m_routes.empty(); }
+  /** Whether every key has a route. */
+  [[nodiscard]] bool IsComplete() const;
 
 private:
   void CutBefore(Key aKey);
 
   /** Routes by first key. */
   std::map<Key, RangeRoute> m_routes;
+  /** Digests of the blocks that have not changed since they were worked out. */
+  mutable std::array<std::optional<BlockDigest>, kBlocks> m_digests;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -92,10 +92,10 @@
   std::array<double, kLevelBlocks> usual{};
   double allSeen = 0.0;
   double allUsual = 0.0;
-  constexpr std::uint32_t kBlockKeys = kKeyCount / kLevelBlocks;
+  constexpr std::uint32_t kLevelKeys = kKeyCount / kLevelBlocks;
   for (std::uint32_t block = 0; block < kLevelBlocks; ++block) {
-    const KeyRange range{ static_cast<Key>(block * kBlockKeys),
-                          static_cast<Key>((block + 1) * kBlockKeys - 1) };
+    const KeyRange range{ static_cast<Key>(block * kLevelKeys),
+                          static_cast<Key>((block + 1) * kLevelKeys - 1) };
     seen[block] = m_short.Count(range);
     usual[block] = m_long.Count(range) * scale;
     allSeen += seen[block];
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -165,6 +165,9 @@
   auto leadership = Follower();
   leadership.OnHost("z", 0.5);
   leadership.OnHost("a", 0.2);
+  // One that cannot lead shows that this daemon is not cut off.
+  leadership.OnBeat(
+    At(1200), { "c", 9 }, 0, false, { false, At(1200), false, {}, 0.1 });
   CHECK_FALSE(leadership.ShouldClaim(At(1720)));
   CHECK(leadership.ShouldClaim(At(1950)));
   // Later a daemon that was never heard of does not count.
@@ -276,3 +279,58 @@
   leadership.OnRecord(At(1210), { 3, kOther, 0, 0 });
   CHECK_FALSE(leadership.ShouldRead(At(1300)));
 }
+
+TEST_CASE("leaders that do not hear each other claim ever more rarely",
+          "[keys]")
+{
+  // Two daemons of a busy fleet replaced each other every 0.8 s for 17 s.
+  auto leadership = Follower();
+  const LeadershipTimes times;
+  int now = 2000;
+  Term term = 1;
+  const auto claimsAfter = [&] {
+    leadership.OnBeat(
+      At(now), kOther, term, true, { true, At(now), false, {}, 0.2 });
+    leadership.OnBeat(
+      At(now), { "c", 30 }, term, false, { false, At(now), false, {}, 0.1 });
+    int waited = 0;
+    while (!leadership.ShouldClaim(At(now + waited))) {
+      waited += 10;
+      // The third daemon goes on speaking, so this one is not cut off.
+      leadership.OnBeat(At(now + waited),
+                        { "c", 30 },
+                        term,
+                        false,
+                        { false, At(now), false, {}, 0.1 });
+    }
+    now += waited;
+    ++term;
+    return Millis(waited);
+  };
+  const Millis first = claimsAfter();
+  CHECK(first <= times.m_silence + Millis(300));
+  claimsAfter();
+  claimsAfter();
+  CHECK(claimsAfter() >= times.m_silence * 2);
+  CHECK(claimsAfter() >= times.m_silence * 4);
+  // After a calm time one change is answered as fast as the first.
+  now += 10'000;
+  leadership.OnBeat(
+    At(now), { "c", 30 }, term, false, { false, At(now), false, {}, 0.1 });
+  CHECK(claimsAfter() == first);
+}
+
+TEST_CASE("a daemon that hears nobody waits before it claims", "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnHost("a", 0.2);
+  leadership.OnHost("c", 0.2);
+  leadership.OnBeat(
+    At(1500), kOther, 1, true, { true, At(1500), false, {}, 0.2 });
+  CHECK_FALSE(leadership.ShouldClaim(At(3000)));
+  CHECK(leadership.ShouldClaim(At(3600)));
+  // With another that speaks, the leader's silence is enough.
+  leadership.OnBeat(
+    At(2900), { "c", 30 }, 1, false, { false, At(1500), false, {}, 0.2 });
+  CHECK(leadership.ShouldClaim(At(3000)));
+}
--- a/test/sapphirehook/keys/range_keeper.cpp
+++ b/test/sapphirehook/keys/range_keeper.cpp
@@ -648,9 +648,9 @@
   const TimePoint now = At(Millis(1));
   Settle(keeper, now, stored);
   // Joined only within what is stored as one.
-  CHECK(keeper.Ranges().size() == kKeyCount / kStoreBlockKeys);
+  CHECK(keeper.Ranges().size() == kKeyCount / kBlockKeys);
   const auto renewals = keeper.Tick(now + KeeperTimes{}.m_renewEvery);
-  REQUIRE(renewals.m_grants.size() == kKeyCount / kStoreBlockKeys);
+  REQUIRE(renewals.m_grants.size() == kKeyCount / kBlockKeys);
   std::uint32_t keys = 0;
   for (const auto& grant : renewals.m_grants) {
     keys += grant.m_order.m_range.Size();
--- a/test/sapphirehook/keys/range_planner.cpp
+++ b/test/sapphirehook/keys/range_planner.cpp
@@ -56,8 +56,10 @@
     map.Assign({ move.m_range, move.m_to, true });
   }
   std::vector<RangeKeeper::Held> applied;
-  for (const auto& route : map.All()) {
-    applied.push_back({ route.m_range, route.m_endpoint, false });
+  for (unsigned block = 0; block < kBlocks; ++block) {
+    for (const auto& route : map.Block(block)) {
+      applied.push_back({ route.m_range, route.m_endpoint, false });
+    }
   }
   return applied;
 }
