--- a/soak/endpoint.cpp
+++ b/soak/endpoint.cpp
@@ -114,7 +114,7 @@
 void
 StandinEndpoint::Announce()
 {
-  if (m_store.IsBusy() || m_ending) {
+  if (m_store.IsBusy() || m_ended) {
     return;
   }
   const bool leaving = m_record.m_draining;
@@ -126,8 +126,8 @@
                [this, leaving](const CallResult& aResult) {
                  const bool accepted = aResult.m_end == CallEnd::Answered &&
                                        aResult.m_answer.m_head.m_status == kOk;
-                 if (leaving && accepted && !m_ending) {
-                   m_ending = true;
+                 if (leaving && accepted && !m_leaves) {
+                   m_leaves = true;
                    m_journal.Write({ EntryKind::Leaving, BootClock::now() });
                    const Millis more(m_random() % kDrainMore);
                    m_delayed.After(kDrain + more, [this] {
@@ -153,6 +153,7 @@
     m_delayed.After(kHeartbeat, [this] { EndWhenIdle(); });
     return;
   }
+  m_ended = true;
   m_store.Abort();
   m_store.Call(PutCall(m_protocol.m_endpointTopic, m_options.m_name, "", {}),
                kHeartbeat,
--- a/soak/endpoint.hpp
+++ b/soak/endpoint.hpp
@@ -114,7 +114,9 @@
   std::list<PendingRelease> m_releases;
   /** Exchanges that are never answered. */
   std::list<HttpExchangePtr> m_unanswered;
-  bool m_ending = false;
+  /** The store has accepted that it leaves. */
+  bool m_leaves = false;
+  bool m_ended = false;
 };
 
 /** Sets an endpoint's faults. */
--- a/soak/judge.cpp
+++ b/soak/judge.cpp
@@ -177,16 +177,14 @@
                        });
   }
 
-  /** Whether nothing was disturbed from a calm time before until a moment. */
-  [[nodiscard]] bool IsCalm(TimePoint aFrom,
-                            TimePoint aTo,
-                            bool aPlannedToo) const
+  /** Whether nothing unplanned was disturbed from a calm time before until a
+      moment. */
+  [[nodiscard]] bool IsCalm(TimePoint aFrom, TimePoint aTo) const
   {
     return std::none_of(m_evidence.m_disturbances.begin(),
                         m_evidence.m_disturbances.end(),
                         [&](const Disturbance& aOne) {
-                          return (aPlannedToo || !aOne.m_planned) &&
-                                 aOne.m_from <= aTo &&
+                          return !aOne.m_planned && aOne.m_from <= aTo &&
                                  aFrom - kCalm <= aOne.m_to;
                         });
   }
@@ -301,7 +299,7 @@
           left = entry.m_at;
         }
         if (entry.m_kind == EntryKind::Began && left != TimePoint::max() &&
-            entry.m_at > left + kDrain && IsCalm(left, entry.m_at, false)) {
+            entry.m_at > left + kDrain && IsCalm(left, entry.m_at)) {
           Break("leaving endpoints get no work",
                 entry.m_id,
                 " began at ",
@@ -324,7 +322,7 @@
         const bool cut = request.m_end == CallerEnd::CutInAnswer ||
                          request.m_end == CallerEnd::NoAnswer;
         if (!there || !cut || !request.m_sentWhole ||
-            !IsCalm(request.m_sentAt, request.m_endedAt, false)) {
+            !IsCalm(request.m_sentAt, request.m_endedAt)) {
           continue;
         }
         const bool ran = m_runs.contains(request.m_id);
@@ -356,7 +354,7 @@
         }
       }
       if (last == nullptr || !settled ||
-          !IsCalm(last->m_acceptedAt, request.m_endedAt, true)) {
+          !IsCalm(last->m_acceptedAt, request.m_endedAt)) {
         continue;
       }
       if (last->m_hasProbe ? request.m_status == kNotFound
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -23,6 +23,9 @@
 /** Orders that a proxy holds up are reset by their sender after 350 ms. */
 constexpr Millis kLinkDelay{ 250 };
 constexpr Millis kStoreDelay{ 200 };
+/** Slow endpoints take up to this many times as long, so that some requests
+    outlast their route's timeout. */
+constexpr double kMostSlowness = 15.0;
 
 } // namespace
 
@@ -311,7 +314,7 @@
       fault.m_muteShare = aFault.m_strength / 2;
       break;
     case FaultKind::EndpointSlow:
-      fault.m_slowness = 1.0 + 5.0 * aFault.m_strength;
+      fault.m_slowness = 1.0 + kMostSlowness * aFault.m_strength;
       break;
     default:
       fault.m_lateShare = aFault.m_strength;
