Soak: ports that outgoing connections do not take, and an end by signal ends all

Cause: 3 of 18 runs beside others did not start: a port that had been free was taken by an outgoing connection or a datagram socket of another run before it was bound. Ruled out: the daemons ('cannot listen' is what they said, and ended). Change: ports below those of outgoing connections, free for both protocols; a signal ends the processes that the run has started.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -47,6 +47,12 @@
   m_fleet.Start();
   m_startedAt = BootClock::now();
   ChangeConfig();
+  for (const int number : { SIGINT, SIGTERM }) {
+    m_loop.OnSignal(number, [this] {
+      Break("a whole run", "stopped by a signal");
+      m_loop.Stop();
+    });
+  }
   m_watchTimer.StartEvery(kWatchEvery);
   m_loop.Run();
   m_fleet.End();
--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -1,26 +1,49 @@
 #include "support/loopback.hpp"
 
 #include <arpa/inet.h>
+#include <random>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace sapphirehook::support {
 
+namespace {
+
+/** Ports below those that the system gives to outgoing connections, so that
+    none of these takes one between two runs of a process. */
+constexpr unsigned kLowestPort = 10'000;
+constexpr unsigned kPorts = 22'000;
+constexpr int kMostTries = 200;
+
+bool
+CanBind(const sockaddr_in& aAddress, int aType)
+{
+  const int probe = socket(AF_INET, aType, 0);
+  const auto* address = reinterpret_cast<const sockaddr*>(&aAddress);
+  const bool bound = bind(probe, address, sizeof aAddress) == 0;
+  close(probe);
+  return bound;
+}
+
+} // namespace
+
 sockaddr_in
 FreeAddress()
 {
-  const int probe = socket(AF_INET, SOCK_STREAM, 0);
+  static std::mt19937 random(static_cast<unsigned>(
+    getpid() + BootClock::now().time_since_epoch().count()));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  if (bind(probe, reinterpret_cast<sockaddr*>(&address), size) != 0) {
-    throw std::runtime_error("no free port on the loopback");
+  for (int i = 0; i < kMostTries; ++i) {
+    address.sin_port =
+      htons(static_cast<std::uint16_t>(kLowestPort + random() % kPorts));
+    if (CanBind(address, SOCK_STREAM) && CanBind(address, SOCK_DGRAM)) {
+      return address;
+    }
   }
-  getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-  close(probe);
-  return address;
+  throw std::runtime_error("no free port on the loopback");
 }
 
 bool
--- a/test/support/loopback.hpp
+++ b/test/support/loopback.hpp
@@ -9,7 +9,8 @@
 
 namespace sapphirehook::support {
 
-/** Returns a loopback address with a port that is free. */
+/** Returns a loopback address with a port that is free for connections and for
+    datagrams. */
 [[nodiscard]] sockaddr_in
 FreeAddress();
 
