--- a/src/sapphirehook/core/backoff.hpp
+++ b/src/sapphirehook/core/backoff.hpp
@@ -31,8 +31,13 @@
     return wait;
   }
 
-  /** Changes the limit of waits. */
-  void SetLongest(Millis aLongest) noexcept { m_longest = aLongest; }
+  /** Changes the first wait, from the next success on, and the limit. */
+  void SetLimits(Millis aFirst, Millis aLongest) noexcept
+  {
+    m_next = m_next == m_first ? aFirst : m_next;
+    m_first = aFirst;
+    m_longest = aLongest;
+  }
 
   /** Starts over after a success. */
   void Reset() noexcept { m_next = m_first; }
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -70,6 +70,15 @@
   return settings;
 }
 
+/** How a topic is read until the fleet is known. */
+ReaderTimes
+FirstReads(bool aFirstStart)
+{
+  ReaderTimes times = kReads;
+  times.m_afterNewest = aFirstStart ? kFindLeader : kHearLeader;
+  return times;
+}
+
 } // namespace
 
 Gateway::Gateway(GatewaySettings aSettings, GatewayProtocol aProtocol)
@@ -148,7 +157,7 @@
     m_protocol.m_store,
     ToSocketAddress(m_settings.m_store),
     aTopic,
-    kReads,
+    FirstReads(m_settings.m_firstStart),
     TopicEvents{
       [this, aOnRecord](const KeyedRecord& aRecord) {
         (this->*aOnRecord)(aRecord);
@@ -194,7 +203,7 @@
                 .Add("version", SAPPHIREHOOK_VERSION)
                 .Add("zone", m_settings.m_zone)
                 .Add("incarnation", m_gossip.Self().m_incarnation));
-  m_registry.Start();
+  m_registry.Start(m_settings.m_firstStart);
   m_configReader.Start();
   m_endpointReader.Start();
   m_beatTimer.StartEvery(kBeatEvery);
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -18,7 +18,8 @@
 /** A new leader speaks to all hosts for this long. */
 constexpr Millis kNewLeader{ 3000 };
 /** The same for the leader, which finds a silent connection sooner. */
-constexpr ReaderTimes kLeaderReads{ Millis(2000), Millis(60) };
+constexpr ReaderTimes kLeaderReads{ .m_wait = Millis(2000),
+                                    .m_gather = Millis(60) };
 /** While the leader does not reach the store, the others make a call this
     often to see whether they do. */
 constexpr Millis kProbeAfter{ 1000 };
@@ -31,8 +32,11 @@
 /** A daemon that does not read by itself, and was not served when it last did,
     makes a call this often. */
 constexpr Millis kProbePausedEvery{ 2000 };
-/** Longest pause of a daemon of a large fleet that the store does not serve. */
-constexpr Millis kLongPauseInLargeFleet{ 3000 };
+/** First and longest pause of a daemon of a large fleet that the store does not
+    serve, and that is not among the first to lead: those try sooner, and pass
+   on what they read. */
+constexpr Millis kFirstPauseInLargeFleet{ 800 };
+constexpr Millis kLongPauseInLargeFleet{ 6000 };
 /** Pause after records in a large fleet, where each change is a call for each
     daemon. */
 constexpr Millis kGatherInLargeFleet{ 400 };
@@ -173,9 +177,11 @@
 Gateway::ChooseReaders(TimePoint aNow)
 {
   ReaderTimes times = m_ownership.Leads() ? kLeaderReads : kReads;
+  times.m_afterNewest = m_settings.m_firstStart ? kFindLeader : kHearLeader;
   if (IsLargeFleet()) {
     times.m_gather = kGatherInLargeFleet;
     if (!m_ownership.Leads() && !m_ownership.IsHeir()) {
+      times.m_firstPause = kFirstPauseInLargeFleet;
       times.m_longestPause = kLongPauseInLargeFleet;
     }
   }
--- a/src/sapphirehook/gateway/host_registry.cpp
+++ b/src/sapphirehook/gateway/host_registry.cpp
@@ -63,9 +63,13 @@
 }
 
 void
-HostRegistry::Start()
+HostRegistry::Start(bool aFirstStart)
 {
-  Read();
+  if (aFirstStart) {
+    Register();
+  } else {
+    Read();
+  }
 }
 
 void
--- a/src/sapphirehook/gateway/host_registry.hpp
+++ b/src/sapphirehook/gateway/host_registry.hpp
@@ -44,7 +44,9 @@
                const HostEntry& aEntry,
                Handler aOnHost);
 
-  void Start();
+  /** Reads the other hosts. When all start for the first time, this host's
+      entry is written before that, as there is none yet. */
+  void Start(bool aFirstStart);
 
   /** Whether all hosts that were registered have been read. */
   [[nodiscard]] bool IsDone() const noexcept { return m_done; }
--- a/src/sapphirehook/gateway/internal/reader_times.hpp
+++ b/src/sapphirehook/gateway/internal/reader_times.hpp
@@ -9,10 +9,13 @@
 /** How long a read of the followed topics waits for a record, and the pause
     after records that gathers those that follow. Changes must be in force
     within 2 s. */
-inline constexpr ReaderTimes kReads{ Millis(8000), Millis(60) };
-/** The same at the start, when a daemon of a large fleet has not heard the
-   leader yet, and need not read by itself once it has. */
-inline constexpr ReaderTimes kFirstReads{ Millis(8000), Millis(400) };
+inline constexpr ReaderTimes kReads{ .m_wait = Millis(8000),
+                                     .m_gather = Millis(60) };
+/** Pause after the newest records have been read at the start, in which a
+   daemon of a large fleet hears of the leader and need not read by itself any
+   more; when all start for the first time, a leader has to be found first. */
+inline constexpr Millis kHearLeader{ 400 };
+inline constexpr Millis kFindLeader{ 1400 };
 
 } // namespace sapphirehook::internal
 
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -17,7 +17,8 @@
 /** How often the load of ranges is looked at. */
 constexpr Millis kPlanEvery{ 200 };
 /** A leader's reads wait this long, since each proves its term anew. */
-constexpr ReaderTimes kLeaderReads{ Millis(1000), Millis(300) };
+constexpr ReaderTimes kLeaderReads{ .m_wait = Millis(1000),
+                                    .m_gather = Millis(300) };
 /** Time between two tries to claim. */
 constexpr Millis kClaimEvery{ 300 };
 /** A round that comes this late tells that the daemon did not run. */
--- a/src/sapphirehook/gateway/settings.cpp
+++ b/src/sapphirehook/gateway/settings.cpp
@@ -69,6 +69,8 @@
   settings.m_retryBudget.m_slack = Setting<double>(aRoot, "retry_budget_slack");
   settings.m_retryBudget.m_window =
     Positive(aRoot, "retry_budget_window_s", kSecond);
+  settings.m_firstStart =
+    aRoot["first_start"] && Setting<bool>(aRoot, "first_start");
   settings.m_endpointHeartbeat =
     Positive(aRoot, "endpoint_heartbeat_ms", kMilli);
   settings.m_maxHold = Positive(aRoot, "max_hold_ms", kMilli);
--- a/src/sapphirehook/gateway/settings.hpp
+++ b/src/sapphirehook/gateway/settings.hpp
@@ -32,6 +32,8 @@
   /** Speed of the host's link, in megabits a second. */
   double m_linkMbps = 0.0;
   BudgetConfig m_retryBudget;
+  /** All daemons start for the first time, at about the same moment. */
+  bool m_firstStart = false;
   /** How often endpoints write their entries to the store. */
   Millis m_endpointHeartbeat{};
   /** Longest hold that endpoints accept. */
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/store/topic_reader.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirehook {
@@ -15,8 +16,6 @@
 /** An answer to what the store has at hand begins within this time; a slow
    store has been seen to take 0.3 s. */
 constexpr Millis kFirstBytesWithin{ 600 };
-/** First pause after a call that was not served. */
-constexpr Millis kFirstPause{ 100 };
 
 unsigned
 SeedOf(const std::string& aTopic, const void* aReader)
@@ -65,7 +64,9 @@
                 ReadOn();
               }
             })
-  , m_backoff(kFirstPause, m_times.m_longestPause, SeedOf(m_topic, this))
+  , m_backoff(m_times.m_firstPause,
+              m_times.m_longestPause,
+              SeedOf(m_topic, this))
 {
 }
 
@@ -198,10 +199,11 @@
   // Pages are not a snapshot: what changed meanwhile is read again.
   m_from = std::max(m_from, m_newestEnd);
   m_readingNewest = false;
-  m_caughtUp = true;
+  const bool first = !std::exchange(m_caughtUp, true);
   m_backoff.Reset();
   m_events.m_onCaughtUp(m_from, m_newestAskedAt);
-  Next(m_times.m_gather);
+  Next(first ? std::max(m_times.m_afterNewest, m_times.m_gather)
+             : m_times.m_gather);
 }
 
 void
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -35,8 +35,11 @@
   Millis m_wait{};
   /** Pause after records have come, which gathers those that follow. */
   Millis m_gather{};
-  /** Longest pause after calls that were not served. */
+  /** First and longest pause after calls that were not served. */
+  Millis m_firstPause{ 100 };
   Millis m_longestPause{ 500 };
+  /** Pause after the newest records have been read for the first time. */
+  Millis m_afterNewest{};
 };
 
 /** Follows one keyed topic: the newest record of each key first, then each
@@ -82,7 +85,7 @@
   void SetTimes(ReaderTimes aTimes) noexcept
   {
     m_times = aTimes;
-    m_backoff.SetLongest(aTimes.m_longestPause);
+    m_backoff.SetLimits(aTimes.m_firstPause, aTimes.m_longestPause);
   }
 
   [[nodiscard]] bool IsPaused() const noexcept { return m_paused; }
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -1,4 +1,5 @@
 #include "platform/protocol.hpp"
+#include "platform/standin_formats.hpp"
 #include "support/generate.hpp"
 
 #include <catch2/catch.hpp>
@@ -170,3 +171,45 @@
   CHECK(load->m_slots == 8);
   CHECK_FALSE(protocol.m_parseLoad("3,x,8").ok());
 }
+
+TEST_CASE("a configuration is read from what stand-ins write", "[platform]")
+{
+  RoutingConfig config;
+  config.m_version = 0x1a;
+  for (int i = 0; i < 1500; ++i) {
+    Route route;
+    route.m_name = "r" + std::to_string(i);
+    route.m_host = "h.example";
+    route.m_prefix = "/p" + std::to_string(i) + "/";
+    route.m_kind = RequestKind::Upload;
+    route.m_timeout = Millis(700);
+    route.m_objective = Millis(300);
+    route.m_targets = { { "s", 3 }, { "t", 1 } };
+    config.m_routes.push_back(std::move(route));
+  }
+  config.m_services["s"].m_keyed = true;
+  config.m_limits.m_bodyBytes = 4321;
+  const auto read =
+    platform::Protocol().m_parseConfig(platform::WriteConfig(config));
+  REQUIRE(read.ok());
+  CHECK(read->m_version == config.m_version);
+  REQUIRE(read->m_routes.size() == config.m_routes.size());
+  for (std::size_t i = 0; i < read->m_routes.size(); ++i) {
+    CHECK(read->m_routes[i].m_name == config.m_routes[i].m_name);
+    CHECK(read->m_routes[i].m_prefix == config.m_routes[i].m_prefix);
+    CHECK(read->m_routes[i].m_kind == RequestKind::Upload);
+    CHECK(read->m_routes[i].m_targets.size() == 2);
+  }
+  CHECK(read->m_services.at("s").m_keyed);
+  CHECK(read->m_limits.m_bodyBytes == 4321);
+}
+
+TEST_CASE("other lists of a configuration are left alone", "[platform]")
+{
+  const auto text =
+    Replaced(kConfig, "\"resources\"", R"("notes":[{"by":"x"}],"resources")");
+  const auto config = platform::Protocol().m_parseConfig(text);
+  REQUIRE(config.ok());
+  CHECK(config->m_routes.size() == 1);
+  CHECK_FALSE(platform::Protocol().m_parseConfig(R"({"version":"01"})").ok());
+}
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -117,7 +117,7 @@
                m_protocol.m_store,
                m_store.m_address,
                "keyed.t",
-               { Millis(2000), Millis(5) },
+               { .m_wait = Millis(2000), .m_gather = Millis(5) },
                { [this](const KeyedRecord& aRecord) {
                   m_given.push_back(aRecord.m_key + "=" +
                                     aRecord.m_value.value_or("-"));
