--- a/src/sapphirehook/gateway/map_exchange.cpp
+++ b/src/sapphirehook/gateway/map_exchange.cpp
@@ -71,8 +71,9 @@
 MapExchange::TellChanges()
 {
   const TimePoint now = BootClock::now();
-  for (const auto& [service, routes] : std::exchange(m_untold, {})) {
-    ForEachDatagram(routes, [&](std::vector<RangeRoute> aPart) {
+  for (const auto& entry : std::exchange(m_untold, {})) {
+    const std::string& service = entry.first;
+    ForEachDatagram(entry.second, [&](std::vector<RangeRoute> aPart) {
       m_gossip.SendAll(now, RouteUpdate{ service, m_term, std::move(aPart) });
     });
   }
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -251,36 +251,37 @@
                                     const OrderAnswer& aAnswer)
 {
   const TimePoint ends = aNow + WithDrift(m_times.m_hold, m_times.m_driftPpm);
-  ForOrdered(aId, [&](Range& range) {
-    range.m_grantId = 0;
+  ForOrdered(aId, [&](Range& aRange) {
+    aRange.m_grantId = 0;
     switch (aAnswer.m_end) {
       case OrderEnd::Done:
-        range.m_answeredFence = std::max(range.m_answeredFence, range.m_fence);
-        range.m_holdEnds = std::max(range.m_holdEnds, ends);
-        range.m_heldUntil = aNow + m_times.m_hold;
-        range.m_dueAt = aNow + m_times.m_renewEvery;
-        range.m_handover.clear();
-        if (range.m_phase == Phase::Held) {
-          SetGranted(range, true);
+        aRange.m_answeredFence =
+          std::max(aRange.m_answeredFence, aRange.m_fence);
+        aRange.m_holdEnds = std::max(aRange.m_holdEnds, ends);
+        aRange.m_heldUntil = aNow + m_times.m_hold;
+        aRange.m_dueAt = aNow + m_times.m_renewEvery;
+        aRange.m_handover.clear();
+        if (aRange.m_phase == Phase::Held) {
+          SetGranted(aRange, true);
         } else {
-          range.m_dueAt = aNow;
+          aRange.m_dueAt = aNow;
         }
         break;
       case OrderEnd::NoAnswer:
-        range.m_holdEnds = std::max(range.m_holdEnds, ends);
-        range.m_unansweredFence =
-          std::max(range.m_unansweredFence, range.m_fence);
-        range.m_unansweredEnds = std::max(range.m_unansweredEnds, ends);
-        range.m_dueAt = aNow;
+        aRange.m_holdEnds = std::max(aRange.m_holdEnds, ends);
+        aRange.m_unansweredFence =
+          std::max(aRange.m_unansweredFence, aRange.m_fence);
+        aRange.m_unansweredEnds = std::max(aRange.m_unansweredEnds, ends);
+        aRange.m_dueAt = aNow;
         break;
       case OrderEnd::Fenced:
-        range.m_needsFence = true;
-        range.m_dueAt = aNow + m_times.m_retryAfter;
+        aRange.m_needsFence = true;
+        aRange.m_dueAt = aNow + m_times.m_retryAfter;
         break;
       case OrderEnd::Rejected:
       case OrderEnd::Refused:
       case OrderEnd::NotSent:
-        range.m_dueAt = aNow + m_times.m_retryAfter;
+        aRange.m_dueAt = aNow + m_times.m_retryAfter;
         break;
     }
   });
@@ -292,13 +293,13 @@
                                       std::uint64_t aId,
                                       const OrderAnswer& aAnswer)
 {
-  ForOrdered(aId, [&](Range& range) {
-    range.m_releaseId = 0;
+  ForOrdered(aId, [&](Range& aRange) {
+    aRange.m_releaseId = 0;
     if (aAnswer.m_end == OrderEnd::Done) {
-      range.m_handover = aAnswer.m_handover;
-      range.m_phase = Phase::ToStore;
+      aRange.m_handover = aAnswer.m_handover;
+      aRange.m_phase = Phase::ToStore;
     } else {
-      range.m_dueAt = aNow + m_times.m_retryAfter;
+      aRange.m_dueAt = aNow + m_times.m_retryAfter;
     }
   });
 }
