Latency histograms of the gateway: requests by kind, waits, attempts

Cause: the metrics address served counters without types, and no latencies; the histogram of sapphirehookd stood inside its Metrics. Change: LatencyHistogram in core/, used by both; EngineMetrics with its Prometheus samples; store-lost names the answer instead of a number.

--- a/src/sapphirehook/core/fwd.hpp
+++ b/src/sapphirehook/core/fwd.hpp
@@ -11,6 +11,7 @@
 struct Token;
 class Waker;
 class BytePipe;
+class LatencyHistogram;
 
 template<typename Type>
 class Ring;
--- /dev/null
+++ b/src/sapphirehook/core/latency_histogram.cpp
@@ -0,0 +1,79 @@
+#include "sapphirehook/core/latency_histogram.hpp"
+
+#include "sapphirehook/core/text.hpp"
+
+#include <boost/histogram/indexed.hpp>
+#include <cstdint>
+
+namespace sapphirehook {
+
+namespace {
+
+// The lowest is below the time of one network round trip, the highest above
+// the longest timeout of a request.
+constexpr unsigned kBuckets = 35;
+constexpr double kLowestSeconds = 1e-4;
+constexpr double kHighestSeconds = 1e3;
+
+/** Returns a sample's labels with one more, in braces. */
+std::string
+Braced(std::string_view aLabels, std::string_view aMore)
+{
+  if (aLabels.empty() && aMore.empty()) {
+    return {};
+  }
+  const std::string_view comma = aLabels.empty() || aMore.empty() ? "" : ",";
+  return Concat("{", aLabels, comma, aMore, "}");
+}
+
+} // namespace
+
+LatencyHistogram::LatencyHistogram()
+  : m_buckets(boost::histogram::make_histogram(
+      Axis(kBuckets, kLowestSeconds, kHighestSeconds)))
+{
+}
+
+void
+LatencyHistogram::Observe(std::chrono::nanoseconds aSpan)
+{
+  const double seconds = std::chrono::duration<double>(aSpan).count();
+  m_buckets(seconds);
+  m_seconds += seconds;
+}
+
+void
+LatencyHistogram::AppendSamples(std::string& aText,
+                                std::string_view aName,
+                                std::string_view aLabels) const
+{
+  const auto bucket = [&](std::string_view aUpper, double aTotal) {
+    aText += Concat(aName,
+                    "_bucket",
+                    Braced(aLabels, Concat("le=\"", aUpper, "\"")),
+                    " ",
+                    static_cast<std::uint64_t>(aTotal),
+                    "\n");
+  };
+  double total = m_buckets.at(-1);
+  for (const auto& bin : boost::histogram::indexed(m_buckets)) {
+    total += *bin;
+    bucket(std::to_string(bin.bin().upper()), total);
+  }
+  total += m_buckets.at(static_cast<int>(kBuckets));
+  bucket("+Inf", total);
+  const auto labels = Braced(aLabels, "");
+  aText += Concat(aName, "_sum", labels, " ", m_seconds, "\n");
+  aText += Concat(
+    aName, "_count", labels, " ", static_cast<std::uint64_t>(total), "\n");
+}
+
+void
+AppendMetricType(std::string& aText,
+                 std::string_view aName,
+                 std::string_view aType)
+{
+  aText += Concat("# TYPE ", aName, " ", aType, "\n");
+}
+
+} // namespace sapphirehook
--- /dev/null
+++ b/src/sapphirehook/gateway/engine_metrics.cpp
@@ -0,0 +1,51 @@
+#include "sapphirehook/gateway/engine_metrics.hpp"
+
+#include "sapphirehook/core/text.hpp"
+
+namespace sapphirehook {
+
+std::string_view
+KindName(RequestKind aKind) noexcept
+{
+  switch (aKind) {
+    case RequestKind::Idempotent:
+      return "idempotent";
+    case RequestKind::NeverRepeat:
+      return "never-repeat";
+    case RequestKind::Upload:
+      return "upload";
+  }
+  return "unknown";
+}
+
+void
+AppendSamples(std::string& aText, const EngineMetrics& aMetrics)
+{
+  const auto counter = [&](std::string_view aName, std::uint64_t aCount) {
+    AppendMetricType(aText, aName, "counter");
+    aText += Concat(aName, " ", aCount, "\n");
+  };
+  counter("sapphirehook_requests_total", aMetrics.m_requests);
+  counter("sapphirehook_answered_total", aMetrics.m_answered);
+  counter("sapphirehook_refused_total", aMetrics.m_refused);
+  counter("sapphirehook_failed_total", aMetrics.m_failed);
+  counter("sapphirehook_unrouted_total", aMetrics.m_unrouted);
+  counter("sapphirehook_repeats_total", aMetrics.m_repeats);
+  counter("sapphirehook_callers_gone_total", aMetrics.m_gone);
+
+  constexpr std::string_view kRequestTimes = "sapphirehook_request_seconds";
+  AppendMetricType(aText, kRequestTimes, "histogram");
+  for (std::size_t kind = 0; kind < kRequestKinds; ++kind) {
+    const auto name = KindName(static_cast<RequestKind>(kind));
+    aMetrics.m_requestTimes.at(kind).AppendSamples(
+      aText, kRequestTimes, Concat("kind=\"", name, "\""));
+  }
+  constexpr std::string_view kWaitTimes = "sapphirehook_wait_seconds";
+  AppendMetricType(aText, kWaitTimes, "histogram");
+  aMetrics.m_waitTimes.AppendSamples(aText, kWaitTimes);
+  constexpr std::string_view kAttemptTimes = "sapphirehook_attempt_seconds";
+  AppendMetricType(aText, kAttemptTimes, "histogram");
+  aMetrics.m_attemptTimes.AppendSamples(aText, kAttemptTimes);
+}
+
+} // namespace sapphirehook
--- a/src/sapphirehook/gateway/fwd.hpp
+++ b/src/sapphirehook/gateway/fwd.hpp
@@ -11,6 +11,7 @@
 class CallerConnection;
 class UpstreamConnection;
 class UpstreamPool;
+struct EngineMetrics;
 class RequestEngine;
 class Gateway;
 
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
+#include "sapphirehook/core/text.hpp"
 #include "sapphirehook/gateway/internal/fleet_size.hpp"
 #include "sapphirehook/gateway/internal/reader_times.hpp"
 
@@ -343,7 +344,7 @@
     m_storeWorks = false;
     m_log.Write(LogLine("store-lost")
                   .Add("topic", aTopic)
-                  .Add("answer", static_cast<int>(aAnswer)));
+                  .Add("answer", StoreAnswerName(aAnswer)));
   }
   m_ownership.SetStoreWorks(false);
 }
@@ -406,23 +407,15 @@
 std::string
 Gateway::Metrics() const
 {
-  const auto& counts = m_engine.Counts();
   std::string text;
-  const auto add = [&](std::string_view aName, std::uint64_t aValue) {
-    text += "sapphirehook_";
-    text += aName;
-    text += " " + std::to_string(aValue) + "\n";
+  AppendSamples(text, m_engine.Metrics());
+  const auto gauge = [&](std::string_view aName, std::uint64_t aValue) {
+    AppendMetricType(text, aName, "gauge");
+    text += Concat(aName, " ", aValue, "\n");
   };
-  add("requests_total", counts.m_requests);
-  add("answered_total", counts.m_answered);
-  add("refused_total", counts.m_refused);
-  add("failed_total", counts.m_failed);
-  add("unrouted_total", counts.m_unrouted);
-  add("repeats_total", counts.m_repeats);
-  add("callers_gone_total", counts.m_gone);
-  add("config_version", m_configVersion);
-  add("leads", m_ownership.Leads() ? 1 : 0);
-  add("store_works", m_storeWorks ? 1 : 0);
+  gauge("sapphirehook_config_version", m_configVersion);
+  gauge("sapphirehook_leads", m_ownership.Leads() ? 1 : 0);
+  gauge("sapphirehook_store_works", m_storeWorks ? 1 : 0);
   return text;
 }
 
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -120,7 +120,9 @@
       m_loop, m_protocol, aEndpoint.m_record.m_address);
   }
   transaction.m_turns = aEndpoint.m_load.OnSent(aNow);
-  ++transaction.m_sends;
+  if (++transaction.m_sends == 1) {
+    m_metrics.m_waitTimes.Observe(aNow - transaction.m_arrivedAt);
+  }
   transaction.m_tried.insert(aEndpoint.m_record.m_life.m_name);
   transaction.m_sentAt = aNow;
   transaction.m_sentTo = aEndpoint.m_record.m_life.m_name;
@@ -215,6 +217,7 @@
   const auto took = aNow - aTransaction->m_sentAt;
   found->second->m_load.OnEnd(aNow, aEnd, took, aTransaction->m_turns);
   if (aEnd == AttemptEnd::Answered) {
+    m_metrics.m_attemptTimes.Observe(took);
     constexpr int kMeanOver = 50; // answers
     auto& typical = ServiceOf(aTransaction->m_service).m_typical;
     const std::chrono::nanoseconds service(
@@ -276,7 +279,7 @@
     if (aEnd == AttemptEnd::Answered) {
       sink->EndAnswer();
     } else {
-      LogRequest(transaction, "answer-cut", 0, LogRank::Event);
+      RecordEnd(transaction, "answer-cut", 0, LogRank::Event);
       sink->CutAnswer();
     }
     return;
@@ -322,7 +325,7 @@
     step == NextStep::SendAgain ||
     (step == NextStep::SendAgainOnBudget && budget.TryTake(now));
   if (again) {
-    m_counts.m_repeats += step == NextStep::SendAgainOnBudget ? 1 : 0;
+    m_metrics.m_repeats += step == NextStep::SendAgainOnBudget ? 1 : 0;
     transaction.m_waitsFrom = now;
     Place(aTransaction);
   } else if (aEnd == AttemptEnd::Failed) {
@@ -410,8 +413,8 @@
   if (transaction.m_done) {
     return;
   }
-  ++m_counts.m_gone;
-  LogRequest(transaction, "caller-left", 0, LogRank::Routine);
+  ++m_metrics.m_gone;
+  RecordEnd(transaction, "caller-left", 0, LogRank::Routine);
   if (transaction.m_upstream) {
     transaction.m_upstream->Abandon();
     EndAttempt(BootClock::now(), aTransaction, AttemptEnd::Abandoned);
@@ -442,11 +445,11 @@
 {
   auto* sink = aTransaction->m_sink;
   const bool well = aHead.m_status < kServerError;
-  ++m_counts.m_answered;
-  LogRequest(*aTransaction,
-             aOutcome,
-             aHead.m_status,
-             well ? LogRank::Routine : LogRank::Event);
+  ++m_metrics.m_answered;
+  RecordEnd(*aTransaction,
+            aOutcome,
+            aHead.m_status,
+            well ? LogRank::Routine : LogRank::Event);
   Complete(aTransaction);
   if (sink != nullptr) {
     sink->Answer(aHead, aBody);
@@ -459,8 +462,8 @@
                       std::chrono::nanoseconds aComeBackAfter)
 {
   auto* sink = aTransaction->m_sink;
-  ++m_counts.m_refused;
-  LogRequest(*aTransaction, aReason, kUnavailable, LogRank::Event);
+  ++m_metrics.m_refused;
+  RecordEnd(*aTransaction, aReason, kUnavailable, LogRank::Event);
   Complete(aTransaction);
   if (sink != nullptr) {
     const auto after = std::chrono::duration_cast<Millis>(aComeBackAfter);
@@ -477,8 +480,8 @@
                     std::string_view aReason)
 {
   auto* sink = aTransaction->m_sink;
-  ++m_counts.m_failed;
-  LogRequest(*aTransaction, aReason, aStatus, LogRank::Event);
+  ++m_metrics.m_failed;
+  RecordEnd(*aTransaction, aReason, aStatus, LogRank::Event);
   Complete(aTransaction);
   if (sink != nullptr) {
     AnswerDirectly(*sink, aStatus, aReason, std::nullopt);
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -307,7 +307,7 @@
   }
   const Route* route = m_routes->Find(*host, aHead.m_target);
   if (route == nullptr) {
-    ++m_counts.m_unrouted;
+    ++m_metrics.m_unrouted;
     AnswerDirectly(aSink, kNotFound, "no route", std::nullopt);
     return nullptr;
   }
@@ -329,7 +329,7 @@
   auto& transaction = *aTransaction;
   const auto& headers = transaction.m_head.m_headers;
   const TimePoint now = BootClock::now();
-  ++m_counts.m_requests;
+  ++m_metrics.m_requests;
   transaction.m_arrivedAt = now;
   transaction.m_waitsFrom = now;
   if (const auto* id = FindHeader(headers, m_protocol.m_attemptHeader)) {
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/core/event_log.hpp"
 #include "sapphirehook/core/hash.hpp"
 #include "sapphirehook/gateway/caller_connection.hpp"
+#include "sapphirehook/gateway/engine_metrics.hpp"
 #include "sapphirehook/gateway/upstream_connection.hpp"
 #include "sapphirehook/keys/hot_key_counter.hpp"
 #include "sapphirehook/keys/range_map.hpp"
@@ -28,18 +29,6 @@
   std::uint32_t m_seed = 1;
 };
 
-/** Counts of the request path since the start. */
-struct EngineCounts
-{
-  std::uint64_t m_requests = 0;
-  std::uint64_t m_answered = 0;
-  std::uint64_t m_refused = 0;
-  std::uint64_t m_failed = 0;
-  std::uint64_t m_unrouted = 0;
-  std::uint64_t m_repeats = 0;
-  std::uint64_t m_gone = 0;
-};
-
 /** An endpoint's use by this daemon, for its peers. */
 struct EndpointUse
 {
@@ -139,7 +128,10 @@
   /** Number of requests that have no answer yet. */
   [[nodiscard]] std::size_t Unanswered() const;
 
-  [[nodiscard]] const EngineCounts& Counts() const noexcept { return m_counts; }
+  [[nodiscard]] const EngineMetrics& Metrics() const noexcept
+  {
+    return m_metrics;
+  }
 
   [[nodiscard]] const RouteTable* Routes() const noexcept
   {
@@ -248,10 +240,11 @@
   void ReturnConnection(const TransactionPtr& aTransaction);
   void PumpService(Service& aService);
   void AddRoom(LogLine& aLine, const Transaction& aTransaction);
-  void LogRequest(const Transaction& aTransaction,
-                  std::string_view aOutcome,
-                  int aStatus,
-                  LogRank aRank);
+  /** Logs and measures the end of a request. */
+  void RecordEnd(const Transaction& aTransaction,
+                 std::string_view aOutcome,
+                 int aStatus,
+                 LogRank aRank);
 
   EventLoop& m_loop;
   const GatewayProtocol& m_protocol;
@@ -263,7 +256,7 @@
   std::map<std::string, Service> m_services;
   std::map<std::string, std::unique_ptr<Endpoint>> m_endpoints;
   std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_callers;
-  EngineCounts m_counts;
+  EngineMetrics m_metrics;
   EndpointChooser m_chooser;
   /** Hash up to which the fleet has been told of idle endpoints. */
   std::uint32_t m_toldUpTo = 0;
--- a/src/sapphirehook/gateway/request_log.cpp
+++ b/src/sapphirehook/gateway/request_log.cpp
@@ -6,39 +6,24 @@
 
 namespace sapphirehook {
 
-namespace {
-
-std::string_view
-KindName(RequestKind aKind)
-{
-  switch (aKind) {
-    case RequestKind::Idempotent:
-      return "idempotent";
-    case RequestKind::NeverRepeat:
-      return "never-repeat";
-    case RequestKind::Upload:
-      return "upload";
-  }
-  return "unknown";
-}
-
-} // namespace
-
 void
-RequestEngine::LogRequest(const Transaction& aTransaction,
-                          std::string_view aOutcome,
-                          int aStatus,
-                          LogRank aRank)
+RequestEngine::RecordEnd(const Transaction& aTransaction,
+                         std::string_view aOutcome,
+                         int aStatus,
+                         LogRank aRank)
 {
+  const auto took = BootClock::now() - aTransaction.m_arrivedAt;
+  const auto kind = aTransaction.m_route->m_kind;
+  m_metrics.m_requestTimes.at(static_cast<std::size_t>(kind)).Observe(took);
   LogLine line("request-ended");
   line.Add("id", aTransaction.m_attemptId)
     .Add("outcome", aOutcome)
     .Add("status", aStatus)
     .Add("route", aTransaction.m_route->m_name)
-    .Add("kind", KindName(aTransaction.m_route->m_kind))
+    .Add("kind", KindName(kind))
     .Add("config", aTransaction.m_routes->Config().m_version)
     .Add("service", aTransaction.m_service)
-    .Add("took_ms", BootClock::now() - aTransaction.m_arrivedAt)
+    .Add("took_ms", took)
     .Add("sends", aTransaction.m_sends)
     .Add("endpoint", aTransaction.m_sentTo);
   if (aTransaction.m_key) {
--- a/src/sapphirehook/operator/metrics.cpp
+++ b/src/sapphirehook/operator/metrics.cpp
@@ -6,29 +6,6 @@
 
 namespace sapphirehook {
 
-namespace {
-
-constexpr unsigned kBuckets = 35;
-constexpr double kLowestSeconds = 1e-4;
-constexpr double kHighestSeconds = 1e3;
-
-} // namespace
-
-Metrics::Distribution
-Metrics::MakeDistribution()
-{
-  return { boost::histogram::make_histogram(
-             Axis(kBuckets, kLowestSeconds, kHighestSeconds)),
-           0 };
-}
-
-Metrics::Metrics()
-  : m_requests(MakeDistribution())
-  , m_shortWaits(MakeDistribution())
-  , m_unavailable(MakeDistribution())
-{
-}
-
 void
 Metrics::Add(const std::string& aName, std::uint64_t aCount)
 {
@@ -43,33 +20,25 @@
   ++m_errors.at(static_cast<std::size_t>(aKind));
 }
 
-void
-Metrics::Observe(Distribution& aInto, std::chrono::nanoseconds aSpan)
-{
-  const double seconds = std::chrono::duration<double>(aSpan).count();
-  aInto.m_histogram(seconds);
-  aInto.m_sum += seconds;
-}
-
 void
 Metrics::ObserveRequest(std::chrono::nanoseconds aSpan)
 {
   const std::lock_guard lock(m_mutex);
-  Observe(m_requests, aSpan);
+  m_requests.Observe(aSpan);
 }
 
 void
 Metrics::ObserveShortWait(std::chrono::nanoseconds aSpan)
 {
   const std::lock_guard lock(m_mutex);
-  Observe(m_shortWaits, aSpan);
+  m_shortWaits.Observe(aSpan);
 }
 
 void
 Metrics::ObserveUnavailable(std::chrono::nanoseconds aSpan)
 {
   const std::lock_guard lock(m_mutex);
-  Observe(m_unavailable, aSpan);
+  m_unavailable.Observe(aSpan);
 }
 
 void
@@ -96,38 +65,16 @@
   return static_cast<double>(highest) / mean;
 }
 
-void
-Metrics::RenderOne(std::string& aText,
-                   const std::string& aName,
-                   const Distribution& aFrom)
-{
-  aText += Concat("# TYPE ", aName, " histogram\n");
-  double total = aFrom.m_histogram.at(-1);
-  for (const auto& bin : boost::histogram::indexed(aFrom.m_histogram)) {
-    total += *bin;
-    aText += Concat(aName,
-                    "_bucket{le=\"",
-                    bin.bin().upper(),
-                    "\"} ",
-                    static_cast<std::uint64_t>(total),
-                    "\n");
-  }
-  total += aFrom.m_histogram.at(static_cast<int>(kBuckets));
-  const auto count = static_cast<std::uint64_t>(total);
-  aText += Concat(aName, "_bucket{le=\"+Inf\"} ", count, "\n");
-  aText += Concat(aName, "_sum ", aFrom.m_sum, "\n");
-  aText += Concat(aName, "_count ", count, "\n");
-}
-
 std::string
 Metrics::Render() const
 {
   const std::lock_guard lock(m_mutex);
   std::string text;
   for (const auto& [name, count] : m_counters) {
-    text += Concat("# TYPE ", name, " counter\n", name, " ", count, "\n");
+    AppendMetricType(text, name, "counter");
+    text += Concat(name, " ", count, "\n");
   }
-  text += "# TYPE sapphirehook_errors_total counter\n";
+  AppendMetricType(text, "sapphirehook_errors_total", "counter");
   for (const auto& answer : kErrorAnswers) {
     text += Concat("sapphirehook_errors_total{kind=\"",
                    answer.m_name,
@@ -135,18 +82,21 @@
                    m_errors.at(static_cast<std::size_t>(answer.m_kind)),
                    "\n");
   }
-  text += "# TYPE sapphirehook_served_total counter\n";
+  AppendMetricType(text, "sapphirehook_served_total", "counter");
   for (const auto& [endpoint, count] : m_served) {
     text += Concat(
       "sapphirehook_served_total{endpoint=\"", endpoint, "\"} ", count, "\n");
   }
-  text += Concat("# TYPE sapphirehook_load_imbalance_ratio gauge\n",
-                 "sapphirehook_load_imbalance_ratio ",
-                 Imbalance(),
-                 "\n");
-  RenderOne(text, "sapphirehook_request_seconds", m_requests);
-  RenderOne(text, "sapphirehook_short_wait_seconds", m_shortWaits);
-  RenderOne(text, "sapphirehook_unavailable_seconds", m_unavailable);
+  AppendMetricType(text, "sapphirehook_load_imbalance_ratio", "gauge");
+  text += Concat("sapphirehook_load_imbalance_ratio ", Imbalance(), "\n");
+  const auto histogram = [&](std::string_view aName,
+                             const LatencyHistogram& aFrom) {
+    AppendMetricType(text, aName, "histogram");
+    aFrom.AppendSamples(text, aName);
+  };
+  histogram("sapphirehook_request_seconds", m_requests);
+  histogram("sapphirehook_short_wait_seconds", m_shortWaits);
+  histogram("sapphirehook_unavailable_seconds", m_unavailable);
   return text;
 }
 
--- a/src/sapphirehook/operator/metrics.hpp
+++ b/src/sapphirehook/operator/metrics.hpp
@@ -2,10 +2,10 @@
 #define SAPPHIREHOOK_OPERATOR_METRICS_HPP
 
 #include "sapphirehook/core/error.hpp"
+#include "sapphirehook/core/latency_histogram.hpp"
 #include "sapphirehook/core/time.hpp"
 
 #include <array>
-#include <boost/histogram.hpp>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -17,8 +17,6 @@
 class Metrics
 {
 public:
-  Metrics();
-
   /** Adds to the counter of a name. */
   void Add(const std::string& aName, std::uint64_t aCount = 1);
 
@@ -41,31 +39,15 @@
   [[nodiscard]] std::string Render() const;
 
 private:
-  using Axis =
-    boost::histogram::axis::regular<double,
-                                    boost::histogram::axis::transform::log>;
-  using Histogram = decltype(boost::histogram::make_histogram(Axis()));
-
-  struct Distribution
-  {
-    Histogram m_histogram;
-    double m_sum = 0;
-  };
-
-  static Distribution MakeDistribution();
-  static void Observe(Distribution& aInto, std::chrono::nanoseconds aSpan);
-  static void RenderOne(std::string& aText,
-                        const std::string& aName,
-                        const Distribution& aFrom);
   [[nodiscard]] double Imbalance() const;
 
   mutable std::mutex m_mutex;
   std::map<std::string, std::uint64_t> m_counters;
   std::array<std::uint64_t, kErrorKindCount> m_errors{};
   std::map<std::string, std::uint64_t> m_served;
-  Distribution m_requests;
-  Distribution m_shortWaits;
-  Distribution m_unavailable;
+  LatencyHistogram m_requests;
+  LatencyHistogram m_shortWaits;
+  LatencyHistogram m_unavailable;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/routing/route.hpp
+++ b/src/sapphirehook/routing/route.hpp
@@ -21,6 +21,7 @@
   /** As NeverRepeat, with a large body. */
   Upload,
 };
+inline constexpr std::size_t kRequestKinds = 3;
 
 /** A service that gets a share of a route's requests. */
 struct RouteTarget
--- a/src/sapphirehook/store/keyed_record.hpp
+++ b/src/sapphirehook/store/keyed_record.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sapphirehook {
@@ -34,6 +35,27 @@
   Malformed,
 };
 
+/** Returns how a call ended, as logs have it. */
+[[nodiscard]] constexpr std::string_view
+StoreAnswerName(StoreAnswer aAnswer) noexcept
+{
+  switch (aAnswer) {
+    case StoreAnswer::Ok:
+      return "ok";
+    case StoreAnswer::Forgotten:
+      return "forgotten";
+    case StoreAnswer::Conflict:
+      return "conflict";
+    case StoreAnswer::TurnedAway:
+      return "turned-away";
+    case StoreAnswer::NoAnswer:
+      return "no-answer";
+    case StoreAnswer::Malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
 /** A part of a topic. */
 struct KeyedPage
 {
