sapphirehook explain ID and timeline FILE... over gateways' logs

Cause: the way from a request's id to its cause was a series of greps over all hosts' logs. Change: LogMerge reads any number of logs in order of time with memory bounded by their number; RequestStory gathers a request's lines and the changes of belief that matter to it (its endpoints, its key's range, leaders, its host's store and configuration); moves and releases name their service; dropped lines are counted by rank. Ruled out: one pass with a window (what matters is known only from the request's last line).

--- a/programs/sapphirehook-cli.cpp
+++ b/programs/sapphirehook-cli.cpp
@@ -1,6 +1,7 @@
 #include "sapphirehook/core/http_client.hpp"
 #include "sapphirehook/core/text.hpp"
 #include "sapphirehook/daemon/settings.hpp"
+#include "sapphirehook/operator/log_commands.hpp"
 #include "sapphirehook/operator/ticket.hpp"
 #include "sapphirehook/operator/timeline.hpp"
 
@@ -30,6 +31,8 @@
   status                  show a daemon's view of the system (--daemon)
   routes                  show the way of a key (--daemon --service --key)
   timeline                merge the time lines of daemons (--daemon, repeated)
+  timeline FILE...        merge logs of gateways, a file for each process
+  explain ID FILE...      tell what gateways' logs know of a request
   drain                   ask a daemon for a planned stop (--daemon)
   settings                print the table of all settings
 
@@ -274,6 +277,38 @@
   return 0;
 }
 
+/** Returns the exit code for the end of a command. */
+int
+ExitCode(const absl::Status& aStatus)
+{
+  if (aStatus.ok()) {
+    return 0;
+  }
+  std::cerr << aStatus.message() << "\n";
+  return absl::IsInvalidArgument(aStatus) ? kExitUsage : kExitFailure;
+}
+
+int
+Explain(const Invocation& aCall)
+{
+  const auto& words = aCall.m_words;
+  if (words.size() < 3) {
+    return Complain("explain: name an id and log files; see --help");
+  }
+  return ExitCode(sapphirehook::ExplainRequest(
+    std::cout, words[1], { words.begin() + 2, words.end() }));
+}
+
+int
+ShowLogTimeline(const Invocation& aCall)
+{
+  const auto& words = aCall.m_words;
+  return ExitCode(sapphirehook::PrintLogTimeline(
+    std::cout,
+    { words.begin() + 1, words.end() },
+    { aCall.m_group, aCall.m_endpoint, Millis(aCall.m_sinceMs) }));
+}
+
 int
 Drain(const Invocation& aCall)
 {
@@ -302,6 +337,12 @@
   if (words[0] == "ticket" && second == "file") {
     return FileTicket(aCall);
   }
+  if (words[0] == "explain") {
+    return Explain(aCall);
+  }
+  if (words[0] == "timeline" && words.size() > 1) {
+    return ShowLogTimeline(aCall);
+  }
   const bool known = words[0] == "status" || words[0] == "routes" ||
                      words[0] == "timeline" || words[0] == "drain" ||
                      (words[0] == "ticket" && second == "status");
--- a/src/sapphirehook/core/event_log.cpp
+++ b/src/sapphirehook/core/event_log.cpp
@@ -79,10 +79,13 @@
 void
 EventLog::BeginSecond()
 {
-  if (m_dropped > 0) {
-    const auto dropped = std::exchange(m_dropped, 0);
+  if (m_droppedRoutine + m_droppedEvents > 0) {
+    const auto routine = std::exchange(m_droppedRoutine, 0);
+    const auto events = std::exchange(m_droppedEvents, 0);
     m_lines = 0;
-    Write(LogLine("log-lines-dropped").Add("count", dropped));
+    Write(LogLine("log-lines-dropped")
+            .Add("routine", routine)
+            .Add("events", events));
   }
   m_lines = 0;
   m_routineLines = 0;
@@ -100,7 +103,7 @@
   const bool isRoutine = aRank == LogRank::Routine;
   if (++m_lines > kMaxLines || m_buffer.size() > kMaxBuffer ||
       (isRoutine && ++m_routineLines > kMaxRoutineLines)) {
-    ++m_dropped;
+    ++(isRoutine ? m_droppedRoutine : m_droppedEvents);
     return;
   }
   const auto wall = std::chrono::duration_cast<Millis>(
--- a/src/sapphirehook/core/event_log.hpp
+++ b/src/sapphirehook/core/event_log.hpp
@@ -68,7 +68,9 @@
   std::chrono::seconds m_second{};
   unsigned m_lines = 0;
   unsigned m_routineLines = 0;
-  std::uint64_t m_dropped = 0;
+  /** Lines of each rank that were left out since the last line that says so. */
+  std::uint64_t m_droppedRoutine = 0;
+  std::uint64_t m_droppedEvents = 0;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -217,6 +217,7 @@
   }
   for (const auto& release : aActions.m_releases) {
     m_log.Write(LogLine("release-sent")
+                  .Add("service", aName)
                   .Add("endpoint", release.m_endpoint)
                   .Add("first", release.m_order.m_range.m_first)
                   .Add("last", release.m_order.m_range.m_last)
@@ -254,6 +255,7 @@
     for (const auto& move : moves) {
       m_log.Write(
         LogLine("range-moves")
+          .Add("service", name)
           .Add("first", move.m_range.m_first)
           .Add("last", move.m_range.m_last)
           .Add("rate", static_cast<int>(led.m_planner.Rate(move.m_range)))
--- a/src/sapphirehook/operator/fwd.hpp
+++ b/src/sapphirehook/operator/fwd.hpp
@@ -1,7 +1,8 @@
 #ifndef SAPPHIREHOOK_OPERATOR_FWD_HPP
 #define SAPPHIREHOOK_OPERATOR_FWD_HPP
 
-/** Tickets, the operators' port, metrics and the time line. */
+/** Tickets, the operators' port, metrics, the time line, and the reading of
+    gateways' logs. */
 namespace sapphirehook {
 
 struct KeySource;
@@ -11,6 +12,9 @@
 struct EndpointConfig;
 struct Ticket;
 struct TimelineEvent;
+struct LogEntry;
+class LogMerge;
+class RequestStory;
 class Timeline;
 class Metrics;
 class OperatorServer;
