Peers give a host without the store what it misses, in small fleets too

In large fleets the leader relays; in small ones each daemon reads for itself. Ruled out: reads by a peer on behalf of the host (calls to a store that is short of them). Change: each daemon keeps the last 64 KB that it read of each topic and answers the beat of a peer that says it has no store and is behind: the leader at once, others after 0.45 s. A reader that is not served accepts records.

--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/gateway/host_registry.hpp"
 #include "sapphirehook/gateway/ownership.hpp"
 #include "sapphirehook/gateway/settings.hpp"
+#include "sapphirehook/gossip/topic_history.hpp"
 #include "sapphirehook/http1/server.hpp"
 #include "sapphirehook/store/outage_watch.hpp"
 
@@ -45,6 +46,7 @@
   void CompareEnds(const Beat& aBeat);
   TopicReader MakeReader(const std::string& aTopic,
                          void (Gateway::*aOnRecord)(const KeyedRecord&));
+  void HelpBehind(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void RelayBatch(const TopicBatch& aBatch);
   void OnRelay(const HostId& aFrom, const TopicRelay& aRelay);
   void ChooseReaders(TimePoint aNow);
@@ -85,6 +87,8 @@
   bool m_stopping = false;
   TimePoint m_stopBegan{};
   BatchAssembler m_batches;
+  /** What was lately read of each topic, for peers without the store. */
+  std::map<std::string, TopicHistory> m_histories;
   /** When a daemon that passes records on was last heard of, and the leader as
       one that does. */
   TimePoint m_relayHeardAt{};
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -62,6 +62,7 @@
       }
     }
     CompareEnds(*beat);
+    HelpBehind(now, aFrom, *beat);
   }
   if (const auto* relay = std::get_if<TopicRelay>(&aMessage)) {
     OnRelay(aFrom, *relay);
@@ -212,10 +213,31 @@
           (m_ownership.IsHeir() && aNow >= m_leaderRelaysAt + kLeaderMissing));
 }
 
+/** In a small fleet, gives a peer that the store does not serve what it has
+   missed. */
+void
+Gateway::HelpBehind(TimePoint aNow, const HostId& aFrom, const Beat& aBeat)
+{
+  if (IsLargeFleet() || aBeat.m_storeWorks || !m_storeWorks) {
+    return;
+  }
+  for (const auto& [topic, end] : aBeat.m_ends) {
+    for (const auto* batch : m_histories[topic].Offer(
+           aNow, aFrom.m_host, end, m_ownership.Leads())) {
+      for (const auto& relay : SplitBatch(*batch)) {
+        m_gossip.SendTo(aFrom.m_host, relay);
+      }
+    }
+  }
+}
+
 void
 Gateway::RelayBatch(const TopicBatch& aBatch)
 {
   const TimePoint now = BootClock::now();
+  if (!IsLargeFleet()) {
+    m_histories[aBatch.m_topic].Add(aBatch);
+  }
   if (!RelaysBatches(now)) {
     return;
   }
--- a/src/sapphirehook/gossip/fwd.hpp
+++ b/src/sapphirehook/gossip/fwd.hpp
@@ -13,6 +13,7 @@
 struct TopicBatch;
 struct TopicRelay;
 class BatchAssembler;
+class TopicHistory;
 class Gossip;
 
 } // namespace sapphirehook
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -129,9 +129,16 @@
                     Offset aNext,
                     const std::vector<KeyedRecord>& aRecords)
 {
-  if (!m_paused || m_client.IsBusy() || m_from < aFrom || m_from >= aNext) {
+  const bool follows = m_from >= aFrom && m_from < aNext;
+  const bool waits = m_paused && !m_client.IsBusy();
+  if (!follows || m_readingNewest || !(waits || m_unserved)) {
     return false;
   }
+  if (m_client.IsBusy()) {
+    // What that call brings would start before these records.
+    m_client.Abort();
+    Next(m_backoff.Next());
+  }
   const Offset known = std::exchange(m_from, aNext);
   for (const auto& record : aRecords) {
     if (record.m_offset >= known) {
@@ -201,6 +208,7 @@
   m_readingNewest = false;
   const bool first = !std::exchange(m_caughtUp, true);
   m_backoff.Reset();
+  m_unserved = false;
   m_events.m_onCaughtUp(m_from, m_newestAskedAt);
   Next(first ? std::max(m_times.m_afterNewest, m_times.m_gather)
              : m_times.m_gather);
@@ -234,6 +242,7 @@
     return;
   }
   m_backoff.Reset();
+  m_unserved = false;
   if (!aPage.m_records.empty()) {
     const Offset from =
       std::exchange(m_from, aPage.m_records.back().m_offset + 1);
@@ -268,6 +277,7 @@
 void
 TopicReader::OnFault(StoreAnswer aAnswer)
 {
+  m_unserved = true;
   m_events.m_onTrouble(aAnswer);
   Next(m_backoff.Next());
 }
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -76,7 +76,8 @@
 
   /** Takes the records between two offsets, which another daemon has read and
       passed on. Returns false when they do not follow on what has been given,
-      or a call of its own is under way. */
+     or this reader follows the topic by itself. It does not while it is paused
+     and has no call under way, or while the store does not serve it. */
   bool Accept(Offset aFrom,
               Offset aNext,
               const std::vector<KeyedRecord>& aRecords);
@@ -116,6 +117,8 @@
   bool m_caughtUp = false;
   bool m_paused = false;
   bool m_probing = false;
+  /** The last call was not served. */
+  bool m_unserved = false;
   bool m_readingNewest = true;
   Offset m_from = 0;
   Offset m_newestEnd = 0;
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -243,3 +243,31 @@
   CHECK_FALSE(bed.m_reader.Refresh());
   CHECK(bed.m_troubles == 0);
 }
+
+TEST_CASE("a reader that the store does not serve takes what is passed on",
+          "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  // While it follows the topic by itself, its own reads bring the records.
+  CHECK_FALSE(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }));
+  bed.m_store.m_answer = [](const std::string&) {
+    return std::optional<std::string>("not a page");
+  };
+  bed.m_reader.Probe();
+  bed.RunFor(Millis(100));
+  REQUIRE(bed.m_troubles > 0);
+  CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }));
+  CHECK(bed.m_given.back() == "b=x");
+  // Once it is served again it goes on behind them.
+  bed.m_store.m_asked.clear();
+  bed.m_store.m_answer = [](const std::string&) {
+    return std::optional(Page(8, { { "c", "1" } }));
+  };
+  bed.RunFor(Millis(800));
+  REQUIRE_FALSE(bed.m_store.m_asked.empty());
+  CHECK(bed.m_store.m_asked.front().find("7") != std::string::npos);
+  CHECK(bed.m_given.back() == "c=1");
+  CHECK_FALSE(bed.m_reader.Accept(8, 9, { { 8, "d", "x" } }));
+}
