A reload takes the retry budget over and names what waits for a restart

Cause: found while writing the settings page: settings-reloaded took only stop_grace_s over, in silence about all others. Change: the retry budget too; wait_for_restart in the log line.

--- a/src/sapphirehook/core/address.hpp
+++ b/src/sapphirehook/core/address.hpp
@@ -13,6 +13,8 @@
 {
   std::string m_host;
   std::uint16_t m_port = 0;
+
+  bool operator==(const Address&) const = default;
 };
 
 /** Parses "number:port". Returns InvalidArgument when the text is none. */
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -369,8 +369,12 @@
                   .Add("why", std::string(aSettings.status().message())));
     return;
   }
-  m_log.Write(LogLine("settings-reloaded"));
   m_settings.m_stopGrace = aSettings->m_stopGrace;
+  m_settings.m_retryBudget = aSettings->m_retryBudget;
+  m_engine.SetBudget(aSettings->m_retryBudget);
+  m_log.Write(LogLine("settings-reloaded")
+                .Add("wait_for_restart",
+                     Join(ChangedForRestart(m_settings, *aSettings), " ")));
 }
 
 void
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -2,6 +2,7 @@
 
 #include "sapphirehook/core/hash.hpp"
 #include "sapphirehook/gateway/internal/answers.hpp"
+#include "sapphirehook/gateway/internal/service_time.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,21 +17,6 @@
 constexpr Millis kZoneCost{ 3 };
 /** The same for large bodies, whose bytes between zones cost more. */
 constexpr Millis kZoneCostOfBody{ 150 };
-/** No answer is reckoned to take less than this, in seconds. */
-constexpr double kLeastServiceSeconds = 0.001;
-/** Name under which the use by all other daemons together is kept. */
-constexpr const char* kFleet = "fleet";
-
-/** Endpoints that the fleet is told of in turn, with each beat; 350 take 2 s.
- */
-constexpr std::size_t kToldInTurn = 24;
-
-std::uint32_t
-WholeMillis(std::chrono::nanoseconds aSpan)
-{
-  return static_cast<std::uint32_t>(
-    std::chrono::duration_cast<Millis>(aSpan).count());
-}
 
 } // namespace
 
@@ -121,120 +107,12 @@
 }
 
 void
-RequestEngine::OnPeerUse(TimePoint aNow,
-                         const std::string& aPeer,
-                         const std::vector<EndpointUse>& aUses)
-{
-  std::map<std::uint32_t, const EndpointUse*> told;
-  for (const auto& use : aUses) {
-    told[use.m_endpoint] = &use;
-  }
-  for (auto& [name, endpoint] : m_endpoints) {
-    const auto found = told.find(endpoint->m_hash);
-    if (found == told.end()) {
-      endpoint->m_load.OnPeer(aNow, aPeer, {});
-      continue;
-    }
-    const auto& use = *found->second;
-    endpoint->m_load.OnPeer(
-      aNow, aPeer, { use.m_running, use.m_overdue, use.m_waiting });
-    endpoint->m_load.OnPeerAnswers(use.m_answers, Millis(use.m_serviceMs));
-  }
-}
-
-void
-RequestEngine::OnFleetUse(TimePoint aNow, const std::vector<FleetUse>& aTotals)
+RequestEngine::SetBudget(BudgetConfig aBudget)
 {
-  std::map<std::uint32_t, const FleetUse*> told;
-  for (const auto& use : aTotals) {
-    told[use.m_endpoint] = &use;
-  }
-  for (auto& [name, endpoint] : m_endpoints) {
-    auto& load = endpoint->m_load;
-    const auto found = told.find(endpoint->m_hash);
-    if (found == told.end()) {
-      load.OnPeer(aNow, kFleet, {});
-      continue;
-    }
-    const auto& use = *found->second;
-    const auto own = load.OwnUse(aNow);
-    const auto others = [](std::size_t aAll, std::size_t aOwn) {
-      return aAll > aOwn ? aAll - aOwn : 0;
-    };
-    load.OnPeer(aNow,
-                kFleet,
-                { others(use.m_running, own.m_running),
-                  others(use.m_overdue, own.m_overdue),
-                  others(use.m_waiting, own.m_waiting) });
-    load.OnFleetService(Millis(use.m_serviceMs));
-  }
-}
-
-std::vector<FleetUse>
-RequestEngine::Totals(TimePoint aNow)
-{
-  std::map<std::uint32_t, const Endpoint*> byHash;
-  for (const auto& [name, endpoint] : m_endpoints) {
-    byHash[endpoint->m_hash] = endpoint.get();
-  }
-  std::set<std::uint32_t> inTurn;
-  auto next = byHash.upper_bound(m_toldUpTo);
-  while (inTurn.size() < std::min(kToldInTurn, byHash.size())) {
-    next = next == byHash.end() ? byHash.begin() : next;
-    m_toldUpTo = next->first;
-    inTurn.insert(next->first);
-    ++next;
-  }
-  std::vector<FleetUse> totals;
-  for (const auto& [hash, endpoint] : byHash) {
-    const auto& load = endpoint->m_load;
-    const auto use = load.AllUse(aNow);
-    if (use.m_running * 2 >= load.Slots() || inTurn.contains(hash)) {
-      totals.push_back({ hash,
-                         static_cast<std::uint32_t>(use.m_running),
-                         static_cast<std::uint32_t>(use.m_overdue),
-                         static_cast<std::uint32_t>(use.m_waiting),
-                         WholeMillis(load.ServiceTime()) });
-    }
-  }
-  return totals;
-}
-
-std::vector<EndpointUse>
-RequestEngine::TakeUses(TimePoint aNow)
-{
-  std::vector<EndpointUse> uses;
-  for (const auto& [name, endpoint] : m_endpoints) {
-    const auto use = endpoint->m_load.OwnUse(aNow);
-    const auto answers = endpoint->m_load.TakeAnswers();
-    if (use.m_running > 0 || use.m_waiting > 0 || answers.m_count > 0) {
-      uses.push_back({ endpoint->m_hash,
-                       static_cast<std::uint32_t>(use.m_running),
-                       static_cast<std::uint32_t>(use.m_overdue),
-                       static_cast<std::uint32_t>(use.m_waiting),
-                       static_cast<std::uint32_t>(answers.m_count),
-                       WholeMillis(answers.m_service) });
-    }
-  }
-  return uses;
-}
-
-double
-RequestEngine::CapacityOf(const std::string& aEndpoint) const
-{
-  const auto found = m_endpoints.find(aEndpoint);
-  if (found == m_endpoints.end()) {
-    return 1.0;
-  }
-  const auto& endpoint = *found->second;
-  std::chrono::duration<double> time = endpoint.m_load.ServiceTime();
-  const auto service = m_services.find(endpoint.m_record.m_service);
-  if (time.count() <= 0.0 && service != m_services.end()) {
-    time = service->second.m_typical;
+  m_settings.m_budget = aBudget;
+  for (auto& [name, service] : m_services) {
+    service.m_budget.SetConfig(aBudget);
   }
-  const double able = 1.0 - endpoint.m_load.OverduePart(BootClock::now());
-  return able * static_cast<double>(endpoint.m_load.Slots()) /
-         std::max(time.count(), kLeastServiceSeconds);
 }
 
 std::vector<KeyCount>
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -105,6 +105,9 @@
 
   void SetDaemons(std::size_t aDaemons);
 
+  /** Sets other limits for repeats. */
+  void SetBudget(BudgetConfig aBudget);
+
   /** Returns this daemon's use of endpoints, with the answers since the last
       call. */
   [[nodiscard]] std::vector<EndpointUse> TakeUses(TimePoint aNow);
--- a/src/sapphirehook/gateway/settings.cpp
+++ b/src/sapphirehook/gateway/settings.cpp
@@ -91,4 +91,29 @@
   }
 }
 
+std::vector<std::string>
+ChangedForRestart(const GatewaySettings& aOld, const GatewaySettings& aNew)
+{
+  std::vector<std::string> changed;
+  const auto compare = [&](const char* aName, auto aMember) {
+    if (aOld.*aMember != aNew.*aMember) {
+      changed.emplace_back(aName);
+    }
+  };
+  compare("host", &GatewaySettings::m_host);
+  compare("zone", &GatewaySettings::m_zone);
+  compare("callers", &GatewaySettings::m_callers);
+  compare("ready", &GatewaySettings::m_ready);
+  compare("peers", &GatewaySettings::m_peers);
+  compare("peers_advertised", &GatewaySettings::m_advertisedPeers);
+  compare("metrics", &GatewaySettings::m_metrics);
+  compare("store", &GatewaySettings::m_store);
+  compare("processor_share", &GatewaySettings::m_processorShare);
+  compare("link_mbps", &GatewaySettings::m_linkMbps);
+  compare("endpoint_heartbeat_ms", &GatewaySettings::m_endpointHeartbeat);
+  compare("max_hold_ms", &GatewaySettings::m_maxHold);
+  compare("drain_ms", &GatewaySettings::m_drain);
+  return changed;
+}
+
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/settings.hpp
+++ b/src/sapphirehook/gateway/settings.hpp
@@ -7,6 +7,7 @@
 
 #include <absl/status/statusor.h>
 #include <string>
+#include <vector>
 
 namespace sapphirehook {
 
@@ -31,6 +32,7 @@
   double m_processorShare = 0.0;
   /** Speed of the host's link, in megabits a second. */
   double m_linkMbps = 0.0;
+  /** Takes effect at once when the settings are read again. */
   BudgetConfig m_retryBudget;
   /** All daemons start for the first time, at about the same moment. */
   bool m_firstStart = false;
@@ -38,7 +40,8 @@
   Millis m_endpointHeartbeat{};
   /** Longest hold that endpoints accept. */
   Millis m_maxHold{};
-  /** Time from the first signal to stop until the process is ended. */
+  /** Time from the first signal to stop until the process is ended. Takes
+     effect at once when the settings are read again. */
   Millis m_stopGrace{};
   /** Time within which a leaving endpoint must get no more work. */
   Millis m_drain{};
@@ -49,6 +52,11 @@
 [[nodiscard]] absl::StatusOr<GatewaySettings>
 ParseGatewaySettings(const std::string& aText);
 
+/** Returns the names of settings that differ and take effect only when the
+    daemon starts. */
+[[nodiscard]] std::vector<std::string>
+ChangedForRestart(const GatewaySettings& aOld, const GatewaySettings& aNew);
+
 } // namespace sapphirehook
 
 #endif
--- a/src/sapphirehook/placement/arrival_budget.hpp
+++ b/src/sapphirehook/placement/arrival_budget.hpp
@@ -29,6 +29,9 @@
   {
   }
 
+  /** Sets other limits; what has been sent counts on. */
+  void SetConfig(BudgetConfig aConfig) noexcept { m_config = aConfig; }
+
   /** Sets how many daemons share the slack. */
   void SetDaemons(std::size_t aDaemons) noexcept { m_daemons = aDaemons; }
 
