--- a/test/documents.cpp
+++ b/test/documents.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("the operators' page has every setting as the parser has it",
           "[documents]")
 {
-  CHECK(Holds(ReadFile("docs/OPERATING.md"), RenderSettingsPage()));
+  CHECK(Holds(ReadFile("docs/OPERATIONS.md"), RenderSettingsPage()));
 }
 
 TEST_CASE("the interfaces page has every error kind as the table has it",
