--- a/soak/endpoint.cpp
+++ b/soak/endpoint.cpp
@@ -28,10 +28,6 @@
 constexpr int kWork = 40;           // milliseconds
 constexpr double kLongShare = 0.03; // of all requests
 constexpr int kLongTimes = 7;
-/** A tick this late tells that the process did not run; what it reads then came
-    while it did not. */
-constexpr Millis kTick{ 20 };
-constexpr Millis kPaused{ 100 };
 /** Late grants are carried out after this, and this much more at most. */
 constexpr Millis kLateLeast{ 1000 };
 constexpr int kLateMore = 4000; // milliseconds
@@ -75,8 +71,8 @@
              [this](const HttpExchangePtr& aExchange) { OnCall(aExchange); })
   , m_store(aLoop, m_options.m_store)
   , m_announceTimer(aLoop, [this] { Announce(); })
-  , m_tickTimer(aLoop, [this] { m_tickedAt = BootClock::now(); })
-  , m_tickedAt(BootClock::now())
+  , m_tickTimer(aLoop, [this] { m_arrivals.OnTick(BootClock::now()); })
+  , m_arrivals(BootClock::now())
   , m_delayed(aLoop)
   , m_random(m_options.m_seed)
 {
@@ -98,7 +94,7 @@
     return false;
   }
   m_announceTimer.StartEvery(kHeartbeat);
-  m_tickTimer.StartEvery(kTick);
+  m_tickTimer.StartEvery(ArrivalClock::kTick);
   Announce();
   return true;
 }
@@ -194,8 +190,8 @@
     aExchange->Answer({ kBadRequest });
     return;
   }
-  const TimePoint until =
-    ArrivalTime() + WithDrift(order->m_hold, m_options.m_driftPpm);
+  const TimePoint until = m_arrivals.EarliestArrival(BootClock::now()) +
+                          WithDrift(order->m_hold, m_options.m_driftPpm);
   if (Draw() < m_fault.m_lateShare) {
     m_unanswered.push_back(aExchange);
     const Millis more(m_random() % kLateMore);
@@ -210,15 +206,6 @@
   aExchange->Answer(reply);
 }
 
-/** When a call that has just been read arrived: at the earliest possible time,
-    if the process was frozen until now. */
-TimePoint
-StandinEndpoint::ArrivalTime() const
-{
-  const TimePoint now = BootClock::now();
-  return now - m_tickedAt > kPaused ? m_tickedAt : now;
-}
-
 bool
 StandinEndpoint::ApplyGrant(const GrantOrder& aOrder, TimePoint aUntil)
 {
--- a/soak/endpoint.hpp
+++ b/soak/endpoint.hpp
@@ -3,6 +3,7 @@
 
 #include "platform/standin_formats.hpp"
 #include "sapphirehook/gateway/protocol.hpp"
+#include "soak/arrival_clock.hpp"
 #include "soak/delayed_calls.hpp"
 #include "soak/journal.hpp"
 #include "soak/leases.hpp"
@@ -91,7 +92,6 @@
   void RefuseNotRun(const HttpExchangePtr& aExchange, int aStatus);
   void Announce();
   void EndWhenIdle();
-  [[nodiscard]] TimePoint ArrivalTime() const;
   [[nodiscard]] double Draw();
   [[nodiscard]] Millis WorkOf(const Job& aJob);
 
@@ -104,7 +104,7 @@
   HttpClient m_store;
   Timer m_announceTimer;
   Timer m_tickTimer;
-  TimePoint m_tickedAt;
+  ArrivalClock m_arrivals;
   DelayedCalls m_delayed;
   std::mt19937 m_random;
   EndpointFault m_fault;
--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -33,13 +34,18 @@
 {
   static std::mt19937 random(static_cast<unsigned>(
     getpid() + BootClock::now().time_since_epoch().count()));
+  // What has been given is not given again, though it may not be in use yet.
+  static std::set<std::uint16_t> given;
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   for (int i = 0; i < kMostTries; ++i) {
-    address.sin_port =
-      htons(static_cast<std::uint16_t>(kLowestPort + random() % kPorts));
-    if (CanBind(address, SOCK_STREAM) && CanBind(address, SOCK_DGRAM)) {
+    const auto port =
+      static_cast<std::uint16_t>(kLowestPort + random() % kPorts);
+    address.sin_port = htons(port);
+    if (!given.contains(port) && CanBind(address, SOCK_STREAM) &&
+        CanBind(address, SOCK_DGRAM)) {
+      given.insert(port);
       return address;
     }
   }
