Test support: a process holds the slice of ports that it gives out

Ruled out: the run that ended a minute before (its processes were gone). Change: a process binds the first port of a slice of 200 and gives out only that slice's ports.

--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <random>
-#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,7 +14,9 @@
     none of these takes one between two runs of a process. */
 constexpr unsigned kLowestPort = 10'000;
 constexpr unsigned kPorts = 22'000;
-constexpr int kMostTries = 200;
+/** Ports that a process takes at once. */
+constexpr unsigned kSlice = 200;
+constexpr int kMostTries = 1000;
 
 bool
 CanBind(const sockaddr_in& aAddress, int aType)
@@ -27,6 +28,33 @@
   return bound;
 }
 
+sockaddr_in
+Loopback(unsigned aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  return address;
+}
+
+/** Takes the first port of a slice of ports for as long as this process lives,
+    so that no other process gives out ports of it. Returns that port, or 0 when
+    the slice is taken. */
+unsigned
+TakeSlice(unsigned aSlice)
+{
+  const unsigned first = kLowestPort + aSlice * kSlice;
+  const auto address = Loopback(first);
+  const int held = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&address);
+  if (bind(held, raw, sizeof address) != 0) {
+    close(held);
+    return 0;
+  }
+  return first;
+}
+
 } // namespace
 
 sockaddr_in
@@ -34,18 +62,17 @@
 {
   static std::mt19937 random(static_cast<unsigned>(
     getpid() + BootClock::now().time_since_epoch().count()));
-  // What has been given is not given again, though it may not be in use yet.
-  static std::set<std::uint16_t> given;
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  static unsigned next = 0;
+  static unsigned end = 0;
   for (int i = 0; i < kMostTries; ++i) {
-    const auto port =
-      static_cast<std::uint16_t>(kLowestPort + random() % kPorts);
-    address.sin_port = htons(port);
-    if (!given.contains(port) && CanBind(address, SOCK_STREAM) &&
-        CanBind(address, SOCK_DGRAM)) {
-      given.insert(port);
+    if (next == end) {
+      const unsigned first = TakeSlice(random() % (kPorts / kSlice));
+      next = first == 0 ? end : first + 1;
+      end = first == 0 ? end : first + kSlice;
+      continue;
+    }
+    const auto address = Loopback(next++);
+    if (CanBind(address, SOCK_STREAM) && CanBind(address, SOCK_DGRAM)) {
       return address;
     }
   }
