Range keeper: which ranges there are is a file of its own

Change: cutting, joining, moving and the choice of a target are in range_keeper_ranges_impl.hpp; nothing else changes.

--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -2,18 +2,18 @@
 #define SAPPHIREHOOK_KEYS_RANGE_KEEPER_IMPL_HPP
 
 #include "sapphirehook/keys/range_keeper.hpp"
+#include "sapphirehook/keys/range_keeper_ranges_impl.hpp"
 
 #include <algorithm>
 #include <bit>
-#include <iterator>
 #include <utility>
 
+// How a keeper's ranges are granted, released and stored.
+
 namespace sapphirehook {
 
 namespace internal {
 
-/** Keeps a division by a capacity of nothing harmless. */
-inline constexpr double kLeastCapacity = 1e-6;
 /** Parts into which the keys of a lost endpoint with a mean share are cut, so
     that they go to several others. */
 inline constexpr std::uint32_t kDealtParts = 6;
@@ -47,31 +47,6 @@
   m_ranges.insert_or_assign(range.m_range.m_first, range);
 }
 
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::CoverAll(unsigned aRanges)
-{
-  const std::uint32_t size =
-    std::clamp<std::uint32_t>(kKeyCount / aRanges, 1, kBlockKeys);
-  for (std::uint32_t first = 0; first < kKeyCount;) {
-    const auto after = m_ranges.lower_bound(static_cast<Key>(first));
-    const std::uint32_t limit =
-      after == m_ranges.end() ? kKeyCount : std::uint32_t{ after->first };
-    if (limit == first) {
-      first = std::uint32_t{ after->second.m_range.m_last } + 1;
-      continue;
-    }
-    // A range lies within one block, so that storing its block stores it.
-    const std::uint32_t blockEnd = (first / kBlockKeys + 1) * kBlockKeys;
-    const std::uint32_t end =
-      std::min({ limit, (first / size + 1) * size, blockEnd });
-    Range range;
-    range.m_range = { static_cast<Key>(first), static_cast<Key>(end - 1) };
-    m_ranges.emplace(range.m_range.m_first, range);
-    first = end;
-  }
-}
-
 template<typename Rules>
 void
 BasicRangeKeeper<Rules>::SetEndpoints(
@@ -95,45 +70,6 @@
   return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::CountKeys()
-{
-  if (std::exchange(m_keysCounted, true)) {
-    return;
-  }
-  m_keyCounts.clear();
-  for (const auto& [first, range] : m_ranges) {
-    const auto& holder =
-      range.m_phase == Phase::Held ? range.m_owner : range.m_target;
-    m_keyCounts[holder] += range.m_range.Size();
-  }
-}
-
-template<typename Rules>
-const KeeperEndpoint*
-BasicRangeKeeper<Rules>::ChooseTarget(const Range& aRange)
-{
-  CountKeys();
-  const KeeperEndpoint* best = nullptr;
-  double bestLoad = 0.0;
-  for (const auto& [life, endpoint] : m_endpoints) {
-    if (!endpoint.m_usable || endpoint.m_silent || endpoint.m_dead) {
-      continue;
-    }
-    const double load = m_keyCounts[life] /
-                        std::max(endpoint.m_capacity, internal::kLeastCapacity);
-    if (best == nullptr || load < bestLoad) {
-      best = &endpoint;
-      bestLoad = load;
-    }
-  }
-  if (best != nullptr) {
-    m_keyCounts[best->m_life] += aRange.m_range.Size();
-  }
-  return best;
-}
-
 template<typename Rules>
 bool
 BasicRangeKeeper<Rules>::OwnerStays(const Range& aRange) const
@@ -304,139 +240,6 @@
   });
 }
 
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::CutBefore(Key aKey)
-{
-  auto after = m_ranges.upper_bound(aKey);
-  if (after == m_ranges.begin()) {
-    return;
-  }
-  auto& [first, range] = *std::prev(after);
-  if (first == aKey || !range.m_range.Contains(aKey) ||
-      range.m_phase != Phase::Held) {
-    return;
-  }
-  // Both parts keep the lease, and the renewal that is under way.
-  Range upper = range;
-  upper.m_range.m_first = aKey;
-  range.m_range.m_last = static_cast<Key>(aKey - 1);
-  m_ranges.emplace(aKey, std::move(upper));
-}
-
-/** Cuts the range of a lost endpoint at fixed keys, so that its keys go to
-    several others. */
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::CutForDealing(KeyRange aRange)
-{
-  const std::uint32_t begin = aRange.m_first / m_dealtKeys + 1;
-  for (std::uint32_t key = begin * m_dealtKeys; key <= aRange.m_last;
-       key += m_dealtKeys) {
-    CutBefore(static_cast<Key>(key));
-  }
-}
-
-template<typename Rules>
-bool
-BasicRangeKeeper<Rules>::CanJoin(TimePoint aNow,
-                                 const Range& aLower,
-                                 const Range& aUpper) const
-{
-  const auto isQuiet = [&](const Range& aRange) {
-    return aRange.m_phase == Phase::Held && aRange.m_granted &&
-           (!Rules::kJoinQuietOnly ||
-            (aRange.m_grantId == 0 && !MayApplyLate(aNow, aRange))) &&
-           aRange.m_handover.empty() && !aRange.m_needsFence;
-  };
-  return aLower.m_owner == aUpper.m_owner && isQuiet(aLower) &&
-         isQuiet(aUpper) &&
-         aLower.m_range.m_first / kBlockKeys ==
-           aUpper.m_range.m_last / kBlockKeys;
-}
-
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::Join(Range& aLower, const Range& aUpper)
-{
-  aLower.m_range.m_last = aUpper.m_range.m_last;
-  aLower.m_fence = std::max(aLower.m_fence, aUpper.m_fence);
-  aLower.m_answeredFence =
-    std::min(aLower.m_answeredFence, aUpper.m_answeredFence);
-  aLower.m_unansweredFence =
-    std::max(aLower.m_unansweredFence, aUpper.m_unansweredFence);
-  aLower.m_unansweredEnds =
-    std::max(aLower.m_unansweredEnds, aUpper.m_unansweredEnds);
-  aLower.m_holdEnds = std::max(aLower.m_holdEnds, aUpper.m_holdEnds);
-  aLower.m_heldUntil = std::min(aLower.m_heldUntil, aUpper.m_heldUntil);
-  aLower.m_dueAt = std::min(aLower.m_dueAt, aUpper.m_dueAt);
-  aLower.m_proofAfter = std::max(aLower.m_proofAfter, aUpper.m_proofAfter);
-}
-
-/** Joins neighbouring ranges of one endpoint, so that one order renews both.
-    The joined range gets a new fence with its next renewal. */
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::JoinNeighbours(TimePoint aNow)
-{
-  for (auto lower = m_ranges.begin(); lower != m_ranges.end();) {
-    auto upper = std::next(lower);
-    bool joined = false;
-    while (upper != m_ranges.end() &&
-           CanJoin(aNow, lower->second, upper->second)) {
-      Join(lower->second, upper->second);
-      upper = m_ranges.erase(upper);
-      joined = true;
-    }
-    lower->second.m_needsFence = lower->second.m_needsFence || joined;
-    lower = upper;
-  }
-}
-
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::Move(TimePoint aNow,
-                              KeyRange aRange,
-                              const std::string& aTo)
-{
-  const auto target =
-    std::find_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aOne) {
-      const auto& endpoint = aOne.second;
-      return endpoint.m_life.m_name == aTo && endpoint.m_usable &&
-             !endpoint.m_silent && !endpoint.m_dead;
-    });
-  if (target == m_endpoints.end()) {
-    return;
-  }
-  CutBefore(aRange.m_first);
-  if (aRange.m_last + 1U < kKeyCount) {
-    CutBefore(static_cast<Key>(aRange.m_last + 1));
-  }
-  for (auto at = m_ranges.lower_bound(aRange.m_first);
-       at != m_ranges.end() && at->first <= aRange.m_last;
-       ++at) {
-    auto& range = at->second;
-    if (range.m_phase == Phase::Held && range.m_owner != target->first &&
-        range.m_range.m_last <= aRange.m_last) {
-      BeginMove(aNow, range, target->first);
-    }
-  }
-}
-
-template<typename Rules>
-void
-BasicRangeKeeper<Rules>::BeginMove(TimePoint aNow,
-                                   Range& aRange,
-                                   const EndpointLife& aTo)
-{
-  aRange.m_target = aTo;
-  aRange.m_phase = Phase::Releasing;
-  aRange.m_dueAt = aNow;
-  aRange.m_granted = false;
-  m_changed.insert(aRange.m_range.m_first);
-  Publish(aRange);
-}
-
 template<typename Rules>
 KeeperActions
 BasicRangeKeeper<Rules>::Tick(TimePoint aNow)
