--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -1,10 +1,9 @@
 #include "soak/fleet.hpp"
 
+#include "sapphirehook/core/address.hpp"
 #include "sapphirehook/core/text.hpp"
 #include "support/loopback.hpp"
 
-#include <arpa/inet.h>
-#include <array>
 #include <fstream>
 #include <utility>
 
@@ -20,14 +19,6 @@
 /** A configuration that was not accepted is sent again. */
 constexpr Millis kPutAgain{ 100 };
 
-std::string
-Text(const sockaddr_in& aAddress)
-{
-  std::array<char, INET_ADDRSTRLEN> host{};
-  inet_ntop(AF_INET, &aAddress.sin_addr, host.data(), host.size());
-  return Concat(host.data(), ":", ntohs(aAddress.sin_port));
-}
-
 } // namespace
 
 Fleet::Fleet(EventLoop& aLoop,
@@ -50,7 +41,7 @@
     std::vector<std::string>{ m_options.m_self,
                               "store",
                               "--listen",
-                              Text(m_storeAddress),
+                              AddressText(m_storeAddress),
                               "--seed",
                               std::to_string(m_options.m_seed) },
     m_options.m_folder + "/store.log");
@@ -84,11 +75,12 @@
     Concat(m_options.m_folder, "/", aGateway.m_host, ".yaml");
   std::ofstream(aGateway.m_settings)
     << "host: " << aGateway.m_host << "\nzone: z"
-    << "\ncallers: " << Text(aGateway.m_callers) << "\nready: " << Text(ready)
-    << "\npeers: " << Text(aGateway.m_peers)
-    << "\npeers_advertised: " << Text(aKnown)
-    << "\nmetrics: " << Text(support::FreeAddress())
-    << "\nstore: " << Text(aGateway.m_storeLink->Address())
+    << "\ncallers: " << AddressText(aGateway.m_callers)
+    << "\nready: " << AddressText(ready)
+    << "\npeers: " << AddressText(aGateway.m_peers)
+    << "\npeers_advertised: " << AddressText(aKnown)
+    << "\nmetrics: " << AddressText(support::FreeAddress())
+    << "\nstore: " << AddressText(aGateway.m_storeLink->Address())
     << "\nprocessor_share: 0.2\nlink_mbps: 1000"
     << "\nretry_budget_ratio: 0.2\nretry_budget_slack: 56"
     << "\nretry_budget_window_s: 10\nendpoint_heartbeat_ms: 400\nmax_hold_ms: "
@@ -143,11 +135,11 @@
                               "--zone",
                               endpoint.m_zone,
                               "--listen",
-                              Text(endpoint.m_listen),
+                              AddressText(endpoint.m_listen),
                               "--advertised",
-                              Text(endpoint.m_advertised),
+                              AddressText(endpoint.m_advertised),
                               "--store",
-                              Text(m_storeAddress),
+                              AddressText(m_storeAddress),
                               "--journal",
                               endpoint.m_journal,
                               "--seed",
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -1,7 +1,8 @@
 #include "soak/proxy.hpp"
 
+#include "support/loopback.hpp"
+
 #include <algorithm>
-#include <arpa/inet.h>
 
 namespace sapphirehook::soak {
 
@@ -11,15 +12,6 @@
 /** Peers that acknowledge nothing for this long are gone. */
 constexpr Millis kAcknowledgeWithin{ 30'000 };
 
-sockaddr_in
-AnyPort()
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 bool
 SameAddress(const sockaddr_in& aLeft, const sockaddr_in& aRight)
 {
@@ -146,7 +138,7 @@
     m_loop, [this, index](const sockaddr_in& aFrom, std::string_view aBytes) {
       OnDatagram(index, aFrom, aBytes);
     });
-  static_cast<void>(side.m_socket->Bind(AnyPort()));
+  static_cast<void>(side.m_socket->Bind(support::Loopback(0)));
   side.m_known = side.m_socket->LocalAddress();
   m_sides.push_back(std::move(side));
   return m_sides.back().m_known;
@@ -194,7 +186,7 @@
       [this, aFrom](const sockaddr_in& aSender, std::string_view aBytes) {
         OnDatagram(aFrom, aSender, aBytes);
       });
-    static_cast<void>(socket->Bind(AnyPort()));
+    static_cast<void>(socket->Bind(support::Loopback(0)));
   }
   return *socket;
 }
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -73,6 +73,8 @@
   std::exponential_distribution<double> gap(1.0 / kMeanGap);
   std::uniform_int_distribution<int> span(kShortest, kLongest);
   std::uniform_real_distribution<double> strength(0.0, 1.0);
+  const auto* const only =
+    std::find(kNames.begin(), kNames.end(), aOptions.m_only);
   std::vector<Fault> faults;
   const auto length = static_cast<double>(aOptions.m_length.count());
   for (double at = gap(random); at < length; at += gap(random)) {
@@ -83,8 +85,6 @@
     fault.m_target = random();
     fault.m_strength = strength(random);
     if (!aOptions.m_only.empty()) {
-      const auto only =
-        std::find(kNames.begin(), kNames.end(), aOptions.m_only);
       fault.m_kind = static_cast<FaultKind>(only - kNames.begin());
     }
     const unsigned times =
--- a/soak/soak.hpp
+++ b/soak/soak.hpp
@@ -4,6 +4,7 @@
 #include "soak/fleet.hpp"
 #include "soak/schedule.hpp"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -41,6 +42,9 @@
   [[nodiscard]] const Evidence& Seen() const noexcept { return m_evidence; }
 
 private:
+  /** The longest time a planned stop may take. */
+  static constexpr Millis kGrace{ 6000 };
+
   void Begin();
   void Inject(const Fault& aFault);
   void InjectGateway(const Fault& aFault);
@@ -52,6 +56,10 @@
   void FreezeGateway(std::size_t aIndex, Millis aFor);
   void KillEndpoint(std::size_t aIndex, const Fault& aFault);
   void SetEndpointFault(std::size_t aIndex, const EndpointFault& aFault);
+  void NoteStopEnd(std::size_t aGateway);
+  void EndLater(const std::string& aPlace,
+                Millis aAfter,
+                std::function<void()> aEnd);
   void SetStoreFault(const StoreFault& aFault);
   void ChangeConfig();
   void Watch();
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -1,6 +1,8 @@
 #include "sapphirehook/store/topic_reader.hpp"
 
 #include "platform/protocol.hpp"
+#include "platform/record_bytes.hpp"
+#include "sapphirehook/http1/server.hpp"
 #include "support/loopback.hpp"
 
 #include <catch2/catch.hpp>
@@ -15,10 +17,10 @@
 public:
   explicit FakeStore(EventLoop& aLoop)
     : m_address(support::FreeAddress())
-    , m_loop(aLoop)
-    , m_listener(aLoop, [this](int aSocket) { Accept(aSocket); })
+    , m_server(aLoop,
+               [this](const HttpExchangePtr& aExchange) { OnCall(aExchange); })
   {
-    REQUIRE(m_listener.Listen(m_address));
+    REQUIRE(m_server.Listen(m_address));
   }
 
   /** Returns the body of the answer to a target; nothing leaves it open. */
@@ -30,74 +32,35 @@
   sockaddr_in m_address;
 
 private:
-  struct Connection
+  void OnCall(const HttpExchangePtr& aExchange)
   {
-    std::unique_ptr<TcpStream> m_stream;
-    std::unique_ptr<MessageParser> m_parser;
-  };
-
-  void Accept(int aSocket)
-  {
-    auto& connection =
-      *m_connections.emplace_back(std::make_unique<Connection>());
-    connection.m_parser = std::make_unique<MessageParser>(
-      MessageSide::Request,
-      MessageEvents{
-        [this, &connection] { Answer(connection); }, nullptr, nullptr });
-    connection.m_stream = std::make_unique<TcpStream>(
-      m_loop,
-      StreamEvents{ nullptr,
-                    [&connection](std::string_view aBytes) {
-                      static_cast<void>(connection.m_parser->Feed(aBytes));
-                      connection.m_parser->Resume();
-                    },
-                    nullptr,
-                    [](StreamEnd) {} });
-    connection.m_stream->Adopt(aSocket, Millis(3000));
-  }
-
-  void Answer(Connection& aConnection)
-  {
-    const auto target = aConnection.m_parser->Request().m_target;
+    const auto target = aExchange->m_head.m_target;
     m_asked.push_back(target);
-    const auto send = [&](std::size_t aSize, const std::string& aBytes) {
-      aConnection.m_stream->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                                  std::to_string(aSize) + "\r\n\r\n" + aBytes);
-    };
     const auto partial = m_partial ? m_partial(target) : std::nullopt;
     if (partial) {
-      send(m_wholeSize, *partial);
+      aExchange->AnswerRaw("HTTP/1.1 200 OK\r\nContent-Length: " +
+                           std::to_string(m_wholeSize) + "\r\n\r\n" + *partial);
     } else if (const auto body = m_answer(target)) {
-      send(body->size(), *body);
+      aExchange->Answer({ 200, "text/plain", *body });
+      return;
     }
+    m_unanswered.push_back(aExchange);
   }
 
-  EventLoop& m_loop;
-  TcpListener m_listener;
-  std::vector<std::unique_ptr<Connection>> m_connections;
+  HttpServer m_server;
+  std::vector<HttpExchangePtr> m_unanswered;
 };
 
-void
-AppendNumber(std::string& aBytes, std::uint64_t aNumber, int aSize)
-{
-  constexpr unsigned kByte = 8;
-  for (int i = aSize - 1; i >= 0; --i) {
-    aBytes += static_cast<char>(aNumber >> (kByte * static_cast<unsigned>(i)));
-  }
-}
-
 /** A page of records as the store sends it: keys with their values. */
 std::string
 Page(Offset aEnd,
      const std::vector<std::pair<std::string, std::string>>& aRecords)
 {
   std::string bytes;
-  AppendNumber(bytes, aEnd, 8);
-  AppendNumber(bytes, 0, 8);
+  platform::AppendBigEndian(bytes, aEnd, platform::kOffsetBytes);
+  platform::AppendBigEndian(bytes, 0, platform::kOffsetBytes);
   for (const auto& [key, value] : aRecords) {
-    AppendNumber(bytes, 1 + key.size() + value.size(), 4);
-    AppendNumber(bytes, key.size(), 1);
-    bytes += key + value;
+    platform::AppendRecord(bytes, { 0, key, value });
   }
   return bytes;
 }
@@ -139,12 +102,7 @@
     };
   }
 
-  void RunFor(Millis aTime)
-  {
-    Timer timer(m_loop, [this] { m_loop.Stop(); });
-    timer.Start(aTime);
-    m_loop.Run();
-  }
+  void RunFor(Millis aTime) { support::RunFor(m_loop, aTime); }
 
   struct Batch
   {
--- a/test/support/loopback.cpp
+++ b/test/support/loopback.cpp
@@ -28,23 +28,13 @@
   return bound;
 }
 
-sockaddr_in
-Loopback(unsigned aPort)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
-  return address;
-}
-
 /** Takes the first port of a slice of ports for as long as this process lives,
     so that no other process gives out ports of it. Returns that port, or 0 when
     the slice is taken. */
-unsigned
+std::uint16_t
 TakeSlice(unsigned aSlice)
 {
-  const unsigned first = kLowestPort + aSlice * kSlice;
+  const auto first = static_cast<std::uint16_t>(kLowestPort + aSlice * kSlice);
   const auto address = Loopback(first);
   const int held = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const auto* raw = reinterpret_cast<const sockaddr*>(&address);
@@ -57,18 +47,29 @@
 
 } // namespace
 
+sockaddr_in
+Loopback(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(aPort);
+  return address;
+}
+
 sockaddr_in
 FreeAddress()
 {
   static std::mt19937 random(static_cast<unsigned>(
     getpid() + BootClock::now().time_since_epoch().count()));
-  static unsigned next = 0;
-  static unsigned end = 0;
+  static std::uint16_t next = 0;
+  static std::uint16_t end = 0;
   for (int i = 0; i < kMostTries; ++i) {
     if (next == end) {
-      const unsigned first = TakeSlice(random() % (kPorts / kSlice));
-      next = first == 0 ? end : first + 1;
-      end = first == 0 ? end : first + kSlice;
+      if (const auto first = TakeSlice(random() % (kPorts / kSlice))) {
+        next = static_cast<std::uint16_t>(first + 1);
+        end = static_cast<std::uint16_t>(first + kSlice);
+      }
       continue;
     }
     const auto address = Loopback(next++);
--- a/test/support/loopback.hpp
+++ b/test/support/loopback.hpp
@@ -4,11 +4,16 @@
 #include "sapphirehook/core/time.hpp"
 #include "sapphirehook/net/event_loop.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <netinet/in.h>
 
 namespace sapphirehook::support {
 
+/** Returns an address of the loopback; port 0 lets the system choose. */
+[[nodiscard]] sockaddr_in
+Loopback(std::uint16_t aPort);
+
 /** Returns a loopback address with a port that is free for connections and for
     datagrams. */
 [[nodiscard]] sockaddr_in
