--- a/src/sapphirehook/core/address.cpp
+++ b/src/sapphirehook/core/address.cpp
@@ -3,6 +3,7 @@
 #include "sapphirehook/core/text.hpp"
 
 #include <arpa/inet.h>
+#include <array>
 #include <charconv>
 
 namespace sapphirehook {
@@ -39,4 +40,12 @@
   return socketAddress;
 }
 
+std::string
+AddressText(const sockaddr_in& aAddress)
+{
+  std::array<char, INET_ADDRSTRLEN> number{};
+  inet_ntop(AF_INET, &aAddress.sin_addr, number.data(), number.size());
+  return Concat(number.data(), ":", ntohs(aAddress.sin_port));
+}
+
 } // namespace sapphirehook
--- a/src/sapphirehook/core/address.hpp
+++ b/src/sapphirehook/core/address.hpp
@@ -25,6 +25,10 @@
 [[nodiscard]] sockaddr_in
 ToSocketAddress(const Address& aAddress);
 
+/** Returns a socket address as "number:port". */
+[[nodiscard]] std::string
+AddressText(const sockaddr_in& aAddress);
+
 } // namespace sapphirehook
 
 #endif
--- a/src/sapphirehook/core/latency_histogram.cpp
+++ b/src/sapphirehook/core/latency_histogram.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/core/latency_histogram.hpp"
 
+#include "sapphirehook/core/metric_text.hpp"
 #include "sapphirehook/core/text.hpp"
 
 #include <boost/histogram/indexed.hpp>
@@ -69,11 +70,12 @@
 }
 
 void
-AppendMetricType(std::string& aText,
-                 std::string_view aName,
-                 std::string_view aType)
+AppendHistogram(std::string& aText,
+                std::string_view aName,
+                const LatencyHistogram& aFrom)
 {
-  aText += Concat("# TYPE ", aName, " ", aType, "\n");
+  AppendMetricType(aText, aName, "histogram");
+  aFrom.AppendSamples(aText, aName);
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/core/latency_histogram.hpp
+++ b/src/sapphirehook/core/latency_histogram.hpp
@@ -34,11 +34,11 @@
   double m_seconds = 0;
 };
 
-/** Adds the line that names a metric's type to a Prometheus text. */
+/** Adds a histogram without labels, and its type, to a Prometheus text. */
 void
-AppendMetricType(std::string& aText,
-                 std::string_view aName,
-                 std::string_view aType);
+AppendHistogram(std::string& aText,
+                std::string_view aName,
+                const LatencyHistogram& aFrom);
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/gateway/engine_metrics.cpp
+++ b/src/sapphirehook/gateway/engine_metrics.cpp
@@ -1,6 +1,6 @@
 #include "sapphirehook/gateway/engine_metrics.hpp"
 
-#include "sapphirehook/core/text.hpp"
+#include "sapphirehook/core/metric_text.hpp"
 
 namespace sapphirehook {
 
@@ -22,8 +22,7 @@
 AppendSamples(std::string& aText, const EngineMetrics& aMetrics)
 {
   const auto counter = [&](std::string_view aName, std::uint64_t aCount) {
-    AppendMetricType(aText, aName, "counter");
-    aText += Concat(aName, " ", aCount, "\n");
+    AppendMetric(aText, aName, "counter", aCount);
   };
   counter("sapphirehook_requests_total", aMetrics.m_requests);
   counter("sapphirehook_answered_total", aMetrics.m_answered);
@@ -40,12 +39,9 @@
     aMetrics.m_requestTimes.at(kind).AppendSamples(
       aText, kRequestTimes, Concat("kind=\"", name, "\""));
   }
-  constexpr std::string_view kWaitTimes = "sapphirehook_wait_seconds";
-  AppendMetricType(aText, kWaitTimes, "histogram");
-  aMetrics.m_waitTimes.AppendSamples(aText, kWaitTimes);
-  constexpr std::string_view kAttemptTimes = "sapphirehook_attempt_seconds";
-  AppendMetricType(aText, kAttemptTimes, "histogram");
-  aMetrics.m_attemptTimes.AppendSamples(aText, kAttemptTimes);
+  AppendHistogram(aText, "sapphirehook_wait_seconds", aMetrics.m_waitTimes);
+  AppendHistogram(
+    aText, "sapphirehook_attempt_seconds", aMetrics.m_attemptTimes);
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
+#include "sapphirehook/core/metric_text.hpp"
 #include "sapphirehook/core/text.hpp"
 #include "sapphirehook/gateway/internal/fleet_size.hpp"
 #include "sapphirehook/gateway/internal/reader_times.hpp"
@@ -413,13 +414,10 @@
 {
   std::string text;
   AppendSamples(text, m_engine.Metrics());
-  const auto gauge = [&](std::string_view aName, std::uint64_t aValue) {
-    AppendMetricType(text, aName, "gauge");
-    text += Concat(aName, " ", aValue, "\n");
-  };
-  gauge("sapphirehook_config_version", m_configVersion);
-  gauge("sapphirehook_leads", m_ownership.Leads() ? 1 : 0);
-  gauge("sapphirehook_store_works", m_storeWorks ? 1 : 0);
+  AppendMetric(text, "sapphirehook_config_version", "gauge", m_configVersion);
+  AppendMetric(
+    text, "sapphirehook_leads", "gauge", m_ownership.Leads() ? 1 : 0);
+  AppendMetric(text, "sapphirehook_store_works", "gauge", m_storeWorks ? 1 : 0);
   return text;
 }
 
--- a/src/sapphirehook/http1/client.cpp
+++ b/src/sapphirehook/http1/client.cpp
@@ -1,7 +1,7 @@
 #include "sapphirehook/http1/client.hpp"
 
-#include <arpa/inet.h>
-#include <array>
+#include "sapphirehook/core/address.hpp"
+
 #include <utility>
 
 namespace sapphirehook {
@@ -18,13 +18,8 @@
 std::string
 SerializeCall(const HttpCall& aCall, const sockaddr_in& aPeer)
 {
-  std::array<char, INET_ADDRSTRLEN> host{};
-  inet_ntop(AF_INET, &aPeer.sin_addr, host.data(), host.size());
   std::string text = aCall.m_method + " " + aCall.m_target + " HTTP/1.1\r\n";
-  AppendHeader(text,
-               "Host",
-               std::string(host.data()) + ":" +
-                 std::to_string(ntohs(aPeer.sin_port)));
+  AppendHeader(text, "Host", AddressText(aPeer));
   if (!aCall.m_bodyType.empty()) {
     AppendHeader(text, "Content-Type", aCall.m_bodyType);
     AppendHeader(text, "Content-Length", std::to_string(aCall.m_body.size()));
--- a/src/sapphirehook/http1/server.cpp
+++ b/src/sapphirehook/http1/server.cpp
@@ -114,24 +114,24 @@
       m_unread.append(aBytes);
       return;
     }
-    while (!aBytes.empty()) {
-      aBytes.remove_prefix(m_parser.Feed(aBytes));
-      if (m_parser.Fault() != ParseFault::None) {
-        m_stream.Close();
-        End();
-        return;
-      }
-      if (!m_parser.IsComplete()) {
-        return;
-      }
-      m_unread.assign(aBytes);
-      m_open = std::make_shared<Exchange>(weak_from_this());
-      m_open->m_head = std::move(m_parser.Request());
-      m_open->m_body = std::exchange(m_body, {});
-      // The handler may answer at once, and so begin the next request.
-      m_server.m_handler(m_open);
+    if (aBytes.empty()) {
+      return;
+    }
+    aBytes.remove_prefix(m_parser.Feed(aBytes));
+    if (m_parser.Fault() != ParseFault::None) {
+      m_stream.Close();
+      End();
+      return;
+    }
+    if (!m_parser.IsComplete()) {
       return;
     }
+    m_unread.assign(aBytes);
+    m_open = std::make_shared<Exchange>(weak_from_this());
+    m_open->m_head = std::move(m_parser.Request());
+    m_open->m_body = std::exchange(m_body, {});
+    // The handler may answer at once, and so begin the next request.
+    m_server.m_handler(m_open);
   }
 
   void End()
--- a/src/sapphirehook/operator/log_commands.cpp
+++ b/src/sapphirehook/operator/log_commands.cpp
@@ -11,8 +11,11 @@
 
 namespace {
 
-absl::StatusOr<LogMerge>
-OpenLogs(const std::vector<std::string>& aPaths)
+/** Gives each entry of logs to a function, in order of time. Returns how many
+    lines were no entries. */
+template<typename Function>
+absl::StatusOr<std::uint64_t>
+ReadLogs(const std::vector<std::string>& aPaths, Function aFunction)
 {
   std::vector<std::unique_ptr<std::istream>> logs;
   for (const auto& path : aPaths) {
@@ -22,7 +25,11 @@
     }
     logs.push_back(std::move(file));
   }
-  return LogMerge(std::move(logs));
+  LogMerge merge(std::move(logs));
+  while (const auto entry = merge.Next()) {
+    aFunction(*entry);
+  }
+  return merge.Skipped();
 }
 
 } // namespace
@@ -33,25 +40,22 @@
                const std::vector<std::string>& aPaths)
 {
   RequestStory story(aId);
-  auto first = OpenLogs(aPaths);
+  const auto first = ReadLogs(
+    aPaths, [&](const LogEntry& aEntry) { story.AddFromFirstReading(aEntry); });
   if (!first.ok()) {
     return first.status();
   }
-  while (const auto entry = first->Next()) {
-    story.AddFromFirstReading(*entry);
-  }
   if (!story.IsKnown()) {
     return absl::NotFoundError(
       Concat("no line of these logs has the id ",
              aId,
              "; requests that went well are logged by sample"));
   }
-  auto second = OpenLogs(aPaths);
-  if (!second.ok()) {
-    return second.status();
-  }
-  while (const auto entry = second->Next()) {
-    story.AddFromSecondReading(*entry);
+  const auto skipped = ReadLogs(aPaths, [&](const LogEntry& aEntry) {
+    story.AddFromSecondReading(aEntry);
+  });
+  if (!skipped.ok()) {
+    return skipped.status();
   }
   aOut << "seconds from the arrival of " << aId << ":\n";
   for (const auto& line : story.Lines()) {
@@ -60,8 +64,8 @@
   if (story.LeftOut() > 0) {
     aOut << story.LeftOut() << " earlier lines left out\n";
   }
-  if (second->Skipped() > 0) {
-    aOut << second->Skipped() << " lines were not a gateway's\n";
+  if (*skipped > 0) {
+    aOut << *skipped << " lines were not a gateway's\n";
   }
   return absl::OkStatus();
 }
@@ -71,24 +75,21 @@
                  const std::vector<std::string>& aPaths,
                  const TimelineFilter& aFilter)
 {
-  auto logs = OpenLogs(aPaths);
-  if (!logs.ok()) {
-    return logs.status();
-  }
   std::optional<Millis> start;
-  while (const auto entry = logs->Next()) {
-    const auto* endpoint = entry->Find("endpoint");
-    const bool named =
-      aFilter.m_endpoint.empty() ||
-      (endpoint != nullptr &&
-       endpoint->find(aFilter.m_endpoint) != std::string::npos);
-    if (entry->Find("id") == nullptr && named &&
-        entry->m_wall >= aFilter.m_since) {
-      start = start.value_or(entry->m_wall);
-      aOut << FormatLogEntry(*entry, *start) << "\n";
-    }
-  }
-  return absl::OkStatus();
+  return ReadLogs(aPaths,
+                  [&](const LogEntry& aEntry) {
+                    const auto* endpoint = aEntry.Find("endpoint");
+                    const bool named =
+                      aFilter.m_endpoint.empty() ||
+                      (endpoint != nullptr &&
+                       endpoint->find(aFilter.m_endpoint) != std::string::npos);
+                    if (aEntry.Find("id") == nullptr && named &&
+                        aEntry.m_wall >= aFilter.m_since) {
+                      start = start.value_or(aEntry.m_wall);
+                      aOut << FormatLogEntry(aEntry, *start) << "\n";
+                    }
+                  })
+    .status();
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/operator/metrics.cpp
+++ b/src/sapphirehook/operator/metrics.cpp
@@ -1,6 +1,6 @@
 #include "sapphirehook/operator/metrics.hpp"
 
-#include "sapphirehook/core/text.hpp"
+#include "sapphirehook/core/metric_text.hpp"
 
 #include <algorithm>
 
@@ -71,8 +71,7 @@
   const std::lock_guard lock(m_mutex);
   std::string text;
   for (const auto& [name, count] : m_counters) {
-    AppendMetricType(text, name, "counter");
-    text += Concat(name, " ", count, "\n");
+    AppendMetric(text, name, "counter", count);
   }
   AppendMetricType(text, "sapphirehook_errors_total", "counter");
   for (const auto& answer : kErrorAnswers) {
@@ -87,16 +86,10 @@
     text += Concat(
       "sapphirehook_served_total{endpoint=\"", endpoint, "\"} ", count, "\n");
   }
-  AppendMetricType(text, "sapphirehook_load_imbalance_ratio", "gauge");
-  text += Concat("sapphirehook_load_imbalance_ratio ", Imbalance(), "\n");
-  const auto histogram = [&](std::string_view aName,
-                             const LatencyHistogram& aFrom) {
-    AppendMetricType(text, aName, "histogram");
-    aFrom.AppendSamples(text, aName);
-  };
-  histogram("sapphirehook_request_seconds", m_requests);
-  histogram("sapphirehook_short_wait_seconds", m_shortWaits);
-  histogram("sapphirehook_unavailable_seconds", m_unavailable);
+  AppendMetric(text, "sapphirehook_load_imbalance_ratio", "gauge", Imbalance());
+  AppendHistogram(text, "sapphirehook_request_seconds", m_requests);
+  AppendHistogram(text, "sapphirehook_short_wait_seconds", m_shortWaits);
+  AppendHistogram(text, "sapphirehook_unavailable_seconds", m_unavailable);
   return text;
 }
 
--- a/src/sapphirehook/placement/endpoint_load.cpp
+++ b/src/sapphirehook/placement/endpoint_load.cpp
@@ -192,20 +192,32 @@
   return part < kOverduePart ? 0.0 : part;
 }
 
+std::size_t
+EndpointLoad::MostThere() const noexcept
+{
+  return m_slots + kExtra;
+}
+
+std::chrono::nanoseconds
+EndpointLoad::ServiceTimeOr(std::chrono::nanoseconds aTypical) const noexcept
+{
+  const auto known = ServiceTime();
+  return known > std::chrono::nanoseconds(0) ? known : aTypical;
+}
+
 std::size_t
 EndpointLoad::Limit(TimePoint aNow) const
 {
-  return aNow < m_fullUntil ? 0 : m_slots + kExtra;
+  return aNow < m_fullUntil ? 0 : MostThere();
 }
 
 std::chrono::nanoseconds
 EndpointLoad::ExpectedWait(TimePoint aNow,
                            std::chrono::nanoseconds aTypical) const
 {
-  const auto known = ServiceTime();
-  const auto service = known > std::chrono::nanoseconds(0) ? known : aTypical;
+  const auto service = ServiceTimeOr(aTypical);
   const Use all = AllUse(aNow);
-  const std::size_t limit = m_slots + kExtra;
+  const std::size_t limit = MostThere();
   const std::size_t over = all.m_running > limit ? all.m_running - limit : 0;
   const auto ahead = static_cast<double>(all.m_waiting + over);
   return Scaled(service, ahead / static_cast<double>(m_slots));
@@ -216,8 +228,7 @@
                              std::chrono::nanoseconds aTypical,
                              double aOwnWeight) const
 {
-  const auto known = ServiceTime();
-  const auto service = known > std::chrono::nanoseconds(0) ? known : aTypical;
+  const auto service = ServiceTimeOr(aTypical);
   const auto own = static_cast<double>(OwnRunning());
   const auto all = static_cast<double>(Running(aNow));
   const double turns = Turns(all + own * (aOwnWeight - 1.0));
--- a/src/sapphirehook/placement/endpoint_load.hpp
+++ b/src/sapphirehook/placement/endpoint_load.hpp
@@ -149,6 +149,12 @@
   std::size_t m_waiting = 0;
   std::map<std::string, PeerUse> m_peers;
   [[nodiscard]] double Turns(double aRunning) const noexcept;
+  /** Limit of an endpoint that has not said it is full. */
+  [[nodiscard]] std::size_t MostThere() const noexcept;
+  /** Mean time of an answer, or what is typical of the service while too little
+      is known of this endpoint. */
+  [[nodiscard]] std::chrono::nanoseconds ServiceTimeOr(
+    std::chrono::nanoseconds aTypical) const noexcept;
   void AddAnswers(std::size_t aAnswers,
                   std::chrono::nanoseconds aService) noexcept;
   void AddOwnAnswer(std::chrono::nanoseconds aService) noexcept;
