Logs tell why a host is behind in a topic, and who gave it a configuration

Callers saw 404 for routes that were confirmed; the lines could not tell whether a host's records were lost on the way, refused, or read too slowly. Change: relay-refused with its reason, read-failed with time and bytes, records-passed-on with its datagrams; configuration-in-force names its bytes and its source; request-ended names the newest version beside the one that admitted the request. reader-behind, up to seven lines a second before, relay-refused and read-failed are written once a second at most for each topic. Tests of the reader check the reason of a refusal where they checked false.

--- a/src/sapphirehook/core/event_log.cpp
+++ b/src/sapphirehook/core/event_log.cpp
@@ -39,6 +39,7 @@
 } // namespace
 
 LogLine::LogLine(std::string_view aEvent)
+  : m_event(aEvent)
 {
   Add("event", aEvent);
 }
--- a/src/sapphirehook/core/event_log.hpp
+++ b/src/sapphirehook/core/event_log.hpp
@@ -41,9 +41,12 @@
 
   [[nodiscard]] const std::string& Fields() const noexcept { return m_fields; }
 
+  [[nodiscard]] const std::string& Event() const noexcept { return m_event; }
+
 private:
   LogLine& AddNumber(std::string_view aName, long long aValue);
 
+  std::string m_event;
   std::string m_fields;
 };
 
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -42,6 +42,10 @@
 /** Time before the end of the grace at which the process ends by itself. */
 constexpr Millis kStopMargin{ 300 };
 
+/** A line that may repeat for as long as a trouble lasts is written this often
+    at most. */
+constexpr Millis kSparseEvery{ 1000 };
+
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -154,26 +158,27 @@
 Gateway::MakeReader(const std::string& aTopic,
                     void (Gateway::*aOnRecord)(const KeyedRecord&))
 {
-  return {
-    m_loop,
-    m_protocol.m_store,
-    ToSocketAddress(m_settings.m_store),
-    aTopic,
-    FirstReads(m_settings.m_firstStart),
-    TopicEvents{
-      [this, aOnRecord](const KeyedRecord& aRecord) {
-        (this->*aOnRecord)(aRecord);
-      },
-      [this, aTopic](
-        Offset aFrom, Offset aNext, const std::vector<KeyedRecord>& aRecords) {
-        RelayBatch({ aTopic, aFrom, aNext, aRecords });
-      },
-      [this, aTopic](Offset, TimePoint aProvenAt) {
-        m_readAt[aTopic] = aProvenAt;
-        OnStoreWorks(aTopic);
-      },
-      [this, aTopic](StoreAnswer aAnswer) { OnStoreTrouble(aTopic, aAnswer); } }
-  };
+  return { m_loop,
+           m_protocol.m_store,
+           ToSocketAddress(m_settings.m_store),
+           aTopic,
+           FirstReads(m_settings.m_firstStart),
+           TopicEvents{
+             [this, aOnRecord](const KeyedRecord& aRecord) {
+               (this->*aOnRecord)(aRecord);
+             },
+             [this, aTopic](Offset aFrom,
+                            Offset aNext,
+                            const std::vector<KeyedRecord>& aRecords) {
+               RelayBatch({ aTopic, aFrom, aNext, aRecords });
+             },
+             [this, aTopic](Offset, TimePoint aProvenAt) {
+               m_readAt[aTopic] = aProvenAt;
+               OnStoreWorks(aTopic);
+             },
+             [this, aTopic](const ReadTrouble& aTrouble) {
+               OnReadTrouble(aTopic, aTrouble);
+             } } };
 }
 
 absl::Status
@@ -260,7 +265,9 @@
     m_log.Write(LogLine("configuration-in-force")
                   .Add("version", config->m_version)
                   .Add("offset", aRecord.m_offset)
-                  .Add("routes", config->m_routes.size()));
+                  .Add("routes", config->m_routes.size())
+                  .Add("bytes", aRecord.m_value->size())
+                  .Add("from", m_recordsFrom));
     m_engine.SetRoutes(std::make_shared<const RouteTable>(*std::move(config)));
     m_ownership.OnChange();
   }
@@ -350,6 +357,29 @@
   m_ownership.SetStoreWorks(false);
 }
 
+void
+Gateway::OnReadTrouble(const std::string& aTopic, const ReadTrouble& aTrouble)
+{
+  OnStoreTrouble(aTopic, aTrouble.m_answer);
+  WriteSparsely(aTopic,
+                LogLine("read-failed")
+                  .Add("topic", aTopic)
+                  .Add("answer", StoreAnswerName(aTrouble.m_answer))
+                  .Add("took_ms", aTrouble.m_took)
+                  .Add("bytes", aTrouble.m_bytes));
+}
+
+void
+Gateway::WriteSparsely(const std::string& aTopic, const LogLine& aLine)
+{
+  const TimePoint now = BootClock::now();
+  auto& written = m_writtenAt[std::string(aLine.Event()) + ' ' + aTopic];
+  if (written == TimePoint{} || now >= written + kSparseEvery) {
+    written = now;
+    m_log.Write(aLine);
+  }
+}
+
 void
 Gateway::OnStoreWorks(std::string_view aTopic)
 {
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -39,6 +39,10 @@
   void OnEndpoint(const KeyedRecord& aRecord);
   void OnEndpointsChanged();
   void OnStoreTrouble(std::string_view aTopic, StoreAnswer aAnswer);
+  void OnReadTrouble(const std::string& aTopic, const ReadTrouble& aTrouble);
+  /** Writes a line of an event that may repeat, at most once a second for each
+      event and topic. */
+  void WriteSparsely(const std::string& aTopic, const LogLine& aLine);
   void OnStoreWorks(std::string_view aTopic);
   void OnMessage(const HostId& aFrom, const GossipMessage& aMessage);
   void TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
@@ -75,6 +79,10 @@
   Timer m_stopTimer;
   Timer m_directoryTimer;
   std::uint64_t m_configVersion = 0;
+  /** Who gave the records that are being taken in: the store or a peer. */
+  std::string m_recordsFrom = "store";
+  /** When lines that may repeat were last written. */
+  std::map<std::string, TimePoint> m_writtenAt;
   std::size_t m_daemons = 1;
   unsigned m_beats = 0;
   bool m_storeWorks = false;
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -119,10 +119,11 @@
         continue;
       }
       since = {};
-      m_log.Write(LogLine("reader-behind")
-                    .Add("topic", topic)
-                    .Add("have", reader->End())
-                    .Add("peer_has", end->second));
+      WriteSparsely(topic,
+                    LogLine("reader-behind")
+                      .Add("topic", topic)
+                      .Add("have", reader->End())
+                      .Add("peer_has", end->second));
     }
   }
 }
@@ -241,9 +242,15 @@
   if (!RelaysBatches(now)) {
     return;
   }
+  const auto relays = SplitBatch(aBatch);
+  m_log.Write(LogLine("records-passed-on")
+                .Add("topic", aBatch.m_topic)
+                .Add("from_offset", aBatch.m_from)
+                .Add("next_offset", aBatch.m_next)
+                .Add("datagrams", relays.size()));
   // What is too large to be passed on is read by each daemon itself. Only the
   // leader hears all others often enough to know who is there.
-  for (const auto& relay : SplitBatch(aBatch)) {
+  for (const auto& relay : relays) {
     if (m_ownership.Leads()) {
       m_gossip.SendAll(now, relay);
     } else {
@@ -262,8 +269,21 @@
   auto& reader = batch->m_topic == m_protocol.m_configTopic ? m_configReader
                                                             : m_endpointReader;
   // What does not follow on this daemon's records it reads from the store.
-  static_cast<void>(
-    reader.Accept(batch->m_from, batch->m_next, batch->m_records));
+  const Offset have = reader.End();
+  m_recordsFrom = aFrom.m_host;
+  const auto outcome =
+    reader.Accept(batch->m_from, batch->m_next, batch->m_records);
+  m_recordsFrom = "store";
+  if (outcome != RelayOutcome::Taken && outcome != RelayOutcome::Known) {
+    WriteSparsely(batch->m_topic,
+                  LogLine("relay-refused")
+                    .Add("topic", batch->m_topic)
+                    .Add("why", RelayOutcomeName(outcome))
+                    .Add("have", have)
+                    .Add("from_offset", batch->m_from)
+                    .Add("next_offset", batch->m_next)
+                    .Add("sender", aFrom.m_host));
+  }
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -235,7 +235,7 @@
       [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
       nullptr,
       [this](Offset, TimePoint aProvenAt) { m_leadership.OnProof(aProvenAt); },
-      [](StoreAnswer) {} });
+      [](const ReadTrouble&) {} });
   m_reader->Start();
   m_timer.StartEvery(kLeaderTick);
   m_planTimer.StartEvery(kPlanEvery);
--- a/src/sapphirehook/gateway/request_log.cpp
+++ b/src/sapphirehook/gateway/request_log.cpp
@@ -22,6 +22,7 @@
     .Add("route", aTransaction.m_route->m_name)
     .Add("kind", KindName(kind))
     .Add("config", aTransaction.m_routes->Config().m_version)
+    .Add("config_newest", m_routes->Config().m_version)
     .Add("service", aTransaction.m_service)
     .Add("took_ms", took)
     .Add("sends", aTransaction.m_sends)
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -124,15 +124,23 @@
   }
 }
 
-bool
+RelayOutcome
 TopicReader::Accept(Offset aFrom,
                     Offset aNext,
                     const std::vector<KeyedRecord>& aRecords)
 {
-  const bool follows = m_from >= aFrom && m_from < aNext;
+  if (m_from >= aNext) {
+    return RelayOutcome::Known;
+  }
+  if (m_readingNewest) {
+    return RelayOutcome::ReadingNewest;
+  }
+  if (m_from < aFrom) {
+    return RelayOutcome::Gap;
+  }
   const bool waits = m_paused && !m_client.IsBusy();
-  if (!follows || m_readingNewest || !(waits || m_unserved)) {
-    return false;
+  if (!waits && !m_unserved) {
+    return RelayOutcome::Reading;
   }
   if (m_client.IsBusy()) {
     // What that call brings would start before these records.
@@ -145,7 +153,7 @@
       Give(record);
     }
   }
-  return true;
+  return RelayOutcome::Taken;
 }
 
 void
@@ -157,23 +165,24 @@
 void
 TopicReader::ReadNewest()
 {
+  m_calledAt = BootClock::now();
   if (m_after.empty()) {
-    m_newestAskedAt = BootClock::now();
+    m_newestAskedAt = m_calledAt;
   }
   m_client.Call(m_protocol.m_newest(m_topic, m_after),
                 kCallTimeout,
                 [this](const CallResult& aResult) {
-                  OnNewest(m_protocol.m_parseNewest(aResult));
+                  OnNewest(m_protocol.m_parseNewest(aResult), aResult);
                 });
 }
 
 void
-TopicReader::OnNewest(const KeyedPage& aPage)
+TopicReader::OnNewest(const KeyedPage& aPage, const CallResult& aResult)
 {
   if (aPage.m_answer != StoreAnswer::Ok) {
     m_after.clear();
     m_listed.clear();
-    OnFault(aPage.m_answer);
+    OnFault(aPage.m_answer, aResult);
     return;
   }
   if (m_after.empty()) {
@@ -217,20 +226,19 @@
 void
 TopicReader::ReadOn()
 {
-  const TimePoint askedAt = BootClock::now();
-  m_calledAt = askedAt;
+  m_calledAt = BootClock::now();
   const bool atOnce = m_paused || std::exchange(m_probing, false);
   const Millis wait = atOnce ? Millis(0) : m_times.m_wait;
   const Millis slack = m_paused ? kCallTimeout : kAnswerSlack;
   m_client.Call(m_protocol.m_read(m_topic, m_from, wait),
                 wait + slack,
-                [this, askedAt](const CallResult& aResult) {
-                  OnRead(m_protocol.m_parseRead(aResult, m_from), askedAt);
+                [this](const CallResult& aResult) {
+                  OnRead(m_protocol.m_parseRead(aResult, m_from), aResult);
                 });
 }
 
 void
-TopicReader::OnRead(const KeyedPage& aPage, TimePoint aAskedAt)
+TopicReader::OnRead(const KeyedPage& aPage, const CallResult& aResult)
 {
   if (aPage.m_answer == StoreAnswer::Forgotten) {
     m_readingNewest = true;
@@ -238,7 +246,7 @@
     return;
   }
   if (aPage.m_answer != StoreAnswer::Ok) {
-    OnFault(aPage.m_answer);
+    OnFault(aPage.m_answer, aResult);
     return;
   }
   m_backoff.Reset();
@@ -255,7 +263,7 @@
     }
   }
   if (m_from >= aPage.m_end) {
-    m_events.m_onCaughtUp(m_from, aAskedAt);
+    m_events.m_onCaughtUp(m_from, m_calledAt);
   }
   if (m_paused && m_from >= aPage.m_end) {
     return;
@@ -275,10 +283,11 @@
 }
 
 void
-TopicReader::OnFault(StoreAnswer aAnswer)
+TopicReader::OnFault(StoreAnswer aAnswer, const CallResult& aResult)
 {
   m_unserved = true;
-  m_events.m_onTrouble(aAnswer);
+  m_events.m_onTrouble(
+    { aAnswer, BootClock::now() - m_calledAt, aResult.m_answer.m_body.size() });
   Next(m_backoff.Next());
 }
 
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -8,9 +8,53 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace sapphirehook {
 
+/** A call that the store did not serve. */
+struct ReadTrouble
+{
+  StoreAnswer m_answer = StoreAnswer::NoAnswer;
+  /** Time since the call was made. */
+  std::chrono::nanoseconds m_took{};
+  /** Bytes of the answer that had come by then. */
+  std::size_t m_bytes = 0;
+};
+
+/** What became of records that another daemon passed on. */
+enum class RelayOutcome : unsigned char
+{
+  Taken,
+  /** They are known already. */
+  Known,
+  /** Records before them are missing. */
+  Gap,
+  /** The newest records are being read. */
+  ReadingNewest,
+  /** The reader's own call is under way. */
+  Reading,
+};
+
+/** Returns an outcome as logs have it. */
+[[nodiscard]] constexpr std::string_view
+RelayOutcomeName(RelayOutcome aOutcome) noexcept
+{
+  switch (aOutcome) {
+    case RelayOutcome::Taken:
+      return "taken";
+    case RelayOutcome::Known:
+      return "known";
+    case RelayOutcome::Gap:
+      return "gap";
+    case RelayOutcome::ReadingNewest:
+      return "reading-newest";
+    case RelayOutcome::Reading:
+      return "reading";
+  }
+  return "unknown";
+}
+
 /** What a reader tells its owner. */
 struct TopicEvents
 {
@@ -25,7 +69,7 @@
       which the topic certainly ended there. */
   std::function<void(Offset aEnd, TimePoint aProvenAt)> m_onCaughtUp;
   /** The store did not serve a call; it is tried again. */
-  std::function<void(StoreAnswer)> m_onTrouble;
+  std::function<void(const ReadTrouble&)> m_onTrouble;
 };
 
 /** How a reader spaces its calls. */
@@ -75,12 +119,12 @@
   void Resume();
 
   /** Takes the records between two offsets, which another daemon has read and
-      passed on. Returns false when they do not follow on what has been given,
-     or this reader follows the topic by itself. It does not while it is paused
-     and has no call under way, or while the store does not serve it. */
-  bool Accept(Offset aFrom,
-              Offset aNext,
-              const std::vector<KeyedRecord>& aRecords);
+      passed on, when they follow on what has been given and this reader does
+      not follow the topic by itself. It does not while it is paused and has no
+      call under way, or while the store does not serve it. */
+  RelayOutcome Accept(Offset aFrom,
+                      Offset aNext,
+                      const std::vector<KeyedRecord>& aRecords);
 
   /** Changes the spacing of calls from the next one on. */
   void SetTimes(ReaderTimes aTimes) noexcept
@@ -99,12 +143,12 @@
 
 private:
   void ReadNewest();
-  void OnNewest(const KeyedPage& aPage);
+  void OnNewest(const KeyedPage& aPage, const CallResult& aResult);
   void ReadOn();
-  void OnRead(const KeyedPage& aPage, TimePoint aAskedAt);
+  void OnRead(const KeyedPage& aPage, const CallResult& aResult);
   void Give(const KeyedRecord& aRecord);
   void FinishNewest();
-  void OnFault(StoreAnswer aAnswer);
+  void OnFault(StoreAnswer aAnswer, const CallResult& aResult);
   void Next(Millis aAfter);
 
   const StoreProtocol& m_protocol;
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -91,7 +91,7 @@
                    m_batches.push_back({ "keyed.t", aFrom, aNext, aRecords });
                  },
                  [](Offset, TimePoint) {},
-                 [this](StoreAnswer) { ++m_troubles; } })
+                 [this](const ReadTrouble&) { ++m_troubles; } })
   {
     m_store.m_answer =
       [this](const std::string& aTarget) -> std::optional<std::string> {
@@ -150,19 +150,22 @@
   const auto asked = bed.m_store.m_asked.size();
   SECTION("what follows on its records")
   {
-    CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }));
+    CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+          RelayOutcome::Taken);
     CHECK(bed.m_reader.End() == 7);
     CHECK(bed.m_given.back() == "b=x");
   }
   SECTION("of what overlaps, the part that is new")
   {
-    CHECK(bed.m_reader.Accept(3, 7, { { 4, "a", "old" }, { 6, "b", "x" } }));
+    CHECK(bed.m_reader.Accept(3, 7, { { 4, "a", "old" }, { 6, "b", "x" } }) ==
+          RelayOutcome::Taken);
     CHECK(bed.m_given == std::vector<std::string>{ "a=1", "b=x" });
   }
   SECTION("nothing after a gap, or of what it has")
   {
-    CHECK_FALSE(bed.m_reader.Accept(6, 7, { { 6, "b", "x" } }));
-    CHECK_FALSE(bed.m_reader.Accept(2, 5, { { 4, "a", "old" } }));
+    CHECK(bed.m_reader.Accept(6, 7, { { 6, "b", "x" } }) == RelayOutcome::Gap);
+    CHECK(bed.m_reader.Accept(2, 5, { { 4, "a", "old" } }) ==
+          RelayOutcome::Known);
     CHECK(bed.m_reader.End() == 5);
   }
   bed.RunFor(Millis(100));
@@ -209,14 +212,15 @@
   bed.m_reader.Start();
   bed.RunFor(Millis(100));
   // While it follows the topic by itself, its own reads bring the records.
-  CHECK_FALSE(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }));
+  CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+        RelayOutcome::Reading);
   bed.m_store.m_answer = [](const std::string&) {
     return std::optional<std::string>("not a page");
   };
   bed.m_reader.Probe();
   bed.RunFor(Millis(100));
   REQUIRE(bed.m_troubles > 0);
-  CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }));
+  CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }) == RelayOutcome::Taken);
   CHECK(bed.m_given.back() == "b=x");
   // Once it is served again it goes on behind them.
   bed.m_store.m_asked.clear();
@@ -227,5 +231,6 @@
   REQUIRE_FALSE(bed.m_store.m_asked.empty());
   CHECK(bed.m_store.m_asked.front().find("7") != std::string::npos);
   CHECK(bed.m_given.back() == "c=1");
-  CHECK_FALSE(bed.m_reader.Accept(8, 9, { { 8, "d", "x" } }));
+  CHECK(bed.m_reader.Accept(8, 9, { { 8, "d", "x" } }) ==
+        RelayOutcome::Reading);
 }
