A read goes on while its answer comes

What callers saw: 404 for 5 to 8 s at hosts on crowded links, for routes that the store had acknowledged. Cause: a read was given up 1.5 s after it began, whatever had come of it, and begun anew with more to bring, since each version is a record of 345 KB. Ruled out: silent connections (bytes came to the end), the store (others were served). Change: once an answer has begun, its call lasts while bytes come at least once a second, for 10 s at most, so that an answer without end is still given up.

--- a/src/sapphirehook/http1/client.cpp
+++ b/src/sapphirehook/http1/client.cpp
@@ -2,6 +2,7 @@
 
 #include "sapphirehook/core/address.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirehook {
@@ -37,8 +38,13 @@
 }
 
 void
-HttpClient::Call(const HttpCall& aCall, Millis aTimeout, Handler aHandler)
+HttpClient::Call(const HttpCall& aCall,
+                 Millis aTimeout,
+                 Handler aHandler,
+                 Millis aMostTime)
 {
+  m_mostUntil = BootClock::now() + std::max(aTimeout, aMostTime);
+  m_extends = aMostTime > aTimeout;
   m_busy = true;
   m_sent = false;
   m_answerBegun = false;
@@ -106,6 +112,13 @@
     return;
   }
   m_answerBegun = true;
+  m_bytesAt = BootClock::now();
+  if (m_extends) {
+    m_timer.Start(std::max<std::chrono::nanoseconds>(
+      std::min<std::chrono::nanoseconds>(kAnswerGoesOnWithin,
+                                         m_mostUntil - m_bytesAt),
+      Millis(0)));
+  }
   const std::size_t used = m_parser->Feed(aBytes);
   if (m_parser->Fault() != ParseFault::None ||
       (m_parser->IsComplete() && used < aBytes.size())) {
--- a/src/sapphirehook/http1/client.hpp
+++ b/src/sapphirehook/http1/client.hpp
@@ -48,6 +48,10 @@
   HttpAnswer m_answer;
 };
 
+/** An answer that has begun goes on within this time; the queue of a link that
+    is full is about half a second long. */
+inline constexpr Millis kAnswerGoesOnWithin{ 1000 };
+
 /** Makes small calls to one address, one at a time over one connection that
     is kept open. */
 class HttpClient
@@ -59,8 +63,13 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /** Makes a call. A call must not be made while another is under way. */
-  void Call(const HttpCall& aCall, Millis aTimeout, Handler aHandler);
+  /** Makes a call. A call must not be made while another is under way. Once its
+      answer has begun, it is not given up while bytes keep coming, until
+      aMostTime after the call. */
+  void Call(const HttpCall& aCall,
+            Millis aTimeout,
+            Handler aHandler,
+            Millis aMostTime = Millis(0));
 
   /** Opens a connection ahead of the next call, unless there is one. */
   void Connect();
@@ -81,6 +90,9 @@
     return m_busy && m_answerBegun;
   }
 
+  /** When the last bytes of an answer came. */
+  [[nodiscard]] TimePoint LastBytesAt() const noexcept { return m_bytesAt; }
+
   /** When the present connection was established; nothing while there is
       none. */
   [[nodiscard]] std::optional<TimePoint> ConnectedAt() const noexcept
@@ -115,6 +127,11 @@
   bool m_busy = false;
   bool m_sent = false;
   bool m_answerBegun = false;
+  /** Bytes that come put off the end of the call. */
+  bool m_extends = false;
+  TimePoint m_bytesAt{};
+  /** The call is given up now at the latest. */
+  TimePoint m_mostUntil{};
   TimePoint m_connectedAt{};
 };
 
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/** Beyond the wait that was asked for, an answer is given up after this time;
-    a large configuration takes 1 s over a link of 10 Mbit/s. */
+/** An answer to a call that does not wait begins within this time. */
 constexpr Millis kCallTimeout{ 1500 };
+/** A call is given up after this time, though its answer still comes: 1 MB, the
+    most that the store answers, over a tenth of a link of 10 Mbit/s. */
+constexpr Millis kMostTransfer{ 10'000 };
 /** A call that waits for a record is given up this long after its wait; a slow
     store has been seen to take 0.3 s. */
 constexpr Millis kAnswerSlack{ 800 };
@@ -79,9 +81,10 @@
 bool
 TopicReader::Refresh()
 {
-  const auto patience =
-    m_client.HasAnswerBegun() ? kCallTimeout : kFirstBytesWithin;
-  if (m_client.IsBusy() && BootClock::now() < m_calledAt + patience) {
+  const auto until = m_client.HasAnswerBegun()
+                       ? m_client.LastBytesAt() + kAnswerGoesOnWithin
+                       : m_calledAt + kFirstBytesWithin;
+  if (m_client.IsBusy() && BootClock::now() < until) {
     return false;
   }
   m_client.Abort();
@@ -173,7 +176,8 @@
                 kCallTimeout,
                 [this](const CallResult& aResult) {
                   OnNewest(m_protocol.m_parseNewest(aResult), aResult);
-                });
+                },
+                kMostTransfer);
 }
 
 void
@@ -234,7 +238,8 @@
                 wait + slack,
                 [this](const CallResult& aResult) {
                   OnRead(m_protocol.m_parseRead(aResult, m_from), aResult);
-                });
+                },
+                wait + kMostTransfer);
 }
 
 void
