Hosts that are behind in a topic get what they miss from their peers

Some hosts answered 404 for routes that the store had acknowledged, for up to 23 s, while all others served them. Cause: in a fleet where one daemon reads and passes records on, a record that was lost on the way could be replaced by the store alone. Later records did not attach to what the host had and were refused, also while its own read was under way; the store turned the host away, or sent it all versions in between over a full link. Small fleets kept 64 KB of history, less than one large configuration. Ruled out: a leader that does not pass on, versions that go back, requests handled by an older table than the host has. Change: each daemon keeps the newest record of each key (TopicImage; a value replaces all before it), so what a peer misses is a batch that attaches to any offset. A daemon that is behind asks a peer that is ahead (TopicCatchUp, sans-I/O): first the parts that did not arrive, else a whole batch, of one peer after the other, ever less often. Answers take a quarter of a link (ByteCredit, out of BlockQueue). Readers take what is passed on while they are paused, unserved, start, or their own call brings nothing for 0.3 s; what they read from the store, far behind, is the newest records in place of the history. The same holds for the list of endpoints. TopicHistory goes: its three tests stand anew for the image and the catch-up, and are stricter (a peer of which too little is kept was given nothing, and is now given all keys). Tests changed: two batches of one sender no longer push each other out, so the part that was refused now ends its own batch, which is compared byte for byte; a batch of 200 KB is still not passed on unasked, and one of 2 MB not split. Why it works: what a host needs no longer grows with the time that it was behind, costs its link 23 KB in place of up to 1 MB, and comes from any peer that has it.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -37,6 +37,10 @@
 constexpr std::size_t kLeastGrants = 8;
 /** Part of a leader's link that the maps other daemons ask for may take. */
 constexpr double kMapPart = 0.25;
+/** Part of a link that goes to peers that ask for records, and the time for
+    which that is saved up. */
+constexpr double kRelayPart = 0.25;
+constexpr std::chrono::duration<double> kMostRelayCredit{ 0.25 };
 constexpr double kMegabit = 1e6; // bits
 constexpr double kByteBits = 8.0;
 /** Time before the end of the grace at which the process ends by itself. */
@@ -140,8 +144,15 @@
   , m_beatTimer(m_loop, [this] { SendBeat(); })
   , m_stopTimer(m_loop, [this] { OnStopTick(); })
   , m_directoryTimer(m_loop, [this] { OnEndpointsChanged(); })
+  , m_catchUpTimer(m_loop, [this] { CatchUp(BootClock::now()); })
   , m_outages(m_settings.m_endpointHeartbeat * kHeartbeatsToLapse)
+  , m_relayCredit(kRelayPart * m_settings.m_linkMbps * kMegabit / kByteBits,
+                  kMostRelayCredit)
 {
+  for (const auto& topic :
+       { m_protocol.m_configTopic, m_protocol.m_endpointTopic }) {
+    m_spreads.emplace(topic, TopicSpread{ TopicCatchUp(topic), {}, {} });
+  }
   m_ownership.m_onLeads = [this] { SendBeat(); };
   m_ownership.m_onStoreTrouble = [this](StoreAnswer aAnswer) {
     OnStoreTrouble("claim", aAnswer);
@@ -163,22 +174,21 @@
            ToSocketAddress(m_settings.m_store),
            aTopic,
            FirstReads(m_settings.m_firstStart),
-           TopicEvents{
-             [this, aOnRecord](const KeyedRecord& aRecord) {
-               (this->*aOnRecord)(aRecord);
-             },
-             [this, aTopic](Offset aFrom,
-                            Offset aNext,
-                            const std::vector<KeyedRecord>& aRecords) {
-               RelayBatch({ aTopic, aFrom, aNext, aRecords });
-             },
-             [this, aTopic](Offset, TimePoint aProvenAt) {
-               m_readAt[aTopic] = aProvenAt;
-               OnStoreWorks(aTopic);
-             },
-             [this, aTopic](const ReadTrouble& aTrouble) {
-               OnReadTrouble(aTopic, aTrouble);
-             } } };
+           TopicEvents{ [this, aOnRecord](const KeyedRecord& aRecord) {
+                         (this->*aOnRecord)(aRecord);
+                       },
+                        [this, aTopic](Offset aFrom,
+                                       Offset,
+                                       const std::vector<KeyedRecord>&) {
+                          RelayRecords(aTopic, aFrom);
+                        },
+                        [this, aTopic](Offset, TimePoint aProvenAt) {
+                          m_readAt[aTopic] = aProvenAt;
+                          OnStoreWorks(aTopic);
+                        },
+                        [this, aTopic](const ReadTrouble& aTrouble) {
+                          OnReadTrouble(aTopic, aTrouble);
+                        } } };
 }
 
 absl::Status
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -4,11 +4,12 @@
 #include "sapphirehook/gateway/host_registry.hpp"
 #include "sapphirehook/gateway/ownership.hpp"
 #include "sapphirehook/gateway/settings.hpp"
-#include "sapphirehook/gossip/topic_history.hpp"
+#include "sapphirehook/gossip/topic_catch_up.hpp"
 #include "sapphirehook/http1/server.hpp"
 #include "sapphirehook/store/outage_watch.hpp"
 
 #include <absl/status/status.h>
+#include <deque>
 #include <string>
 
 namespace sapphirehook {
@@ -47,11 +48,18 @@
   void OnMessage(const HostId& aFrom, const GossipMessage& aMessage);
   void TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void SendBeat();
-  void CompareEnds(const Beat& aBeat);
+  void CompareEnds(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
+  void CatchUp(TimePoint aNow);
   TopicReader MakeReader(const std::string& aTopic,
                          void (Gateway::*aOnRecord)(const KeyedRecord&));
-  void HelpBehind(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
-  void RelayBatch(const TopicBatch& aBatch);
+  [[nodiscard]] TopicReader& ReaderOf(const std::string& aTopic);
+  /** Returns datagrams with what a peer misses that has read up to an offset.
+   */
+  [[nodiscard]] const std::vector<TopicRelay>& RelaysSince(
+    const std::string& aTopic,
+    Offset aHave);
+  void RelayRecords(const std::string& aTopic, Offset aFrom);
+  void OnTopicRequest(const HostId& aFrom, const TopicRequest& aRequest);
   void OnRelay(const HostId& aFrom, const TopicRelay& aRelay);
   void ChooseReaders(TimePoint aNow);
   [[nodiscard]] bool RelaysBatches(TimePoint aNow) const;
@@ -78,6 +86,7 @@
   Timer m_beatTimer;
   Timer m_stopTimer;
   Timer m_directoryTimer;
+  Timer m_catchUpTimer;
   std::uint64_t m_configVersion = 0;
   /** Who gave the records that are being taken in: the store or a peer. */
   std::string m_recordsFrom = "store";
@@ -94,15 +103,22 @@
   bool m_endpointsQueued = false;
   bool m_stopping = false;
   TimePoint m_stopBegan{};
-  BatchAssembler m_batches;
-  /** What was lately read of each topic, for peers without the store. */
-  std::map<std::string, TopicHistory> m_histories;
+  /** How a followed topic spreads between daemons. */
+  struct TopicSpread
+  {
+    TopicCatchUp m_catchUp;
+    /** What was last passed on or asked for, each in its parts. */
+    std::deque<std::vector<TopicRelay>> m_relays;
+    /** When the store was last asked for what peers have. */
+    TimePoint m_refreshedAt{};
+  };
+  std::map<std::string, TopicSpread> m_spreads;
+  /** Limits what is sent to peers that ask. */
+  ByteCredit m_relayCredit;
   /** When a daemon that passes records on was last heard of, and the leader as
       one that does. */
   TimePoint m_relayHeardAt{};
   TimePoint m_leaderRelaysAt{};
-  /** Since when a peer has been ahead of this daemon in a topic. */
-  std::map<std::string, TimePoint> m_behindSince;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gossip/fwd.hpp
+++ b/src/sapphirehook/gossip/fwd.hpp
@@ -12,8 +12,11 @@
 struct Resignation;
 struct TopicBatch;
 struct TopicRelay;
+struct TopicRequest;
+struct PartialBatch;
+struct CatchUpStep;
 class BatchAssembler;
-class TopicHistory;
+class TopicCatchUp;
 class Gossip;
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -102,8 +102,13 @@
   MSGPACK_DEFINE_ARRAY(m_term, m_grantsEndInMs)
 };
 
-using GossipMessage = std::
-  variant<Beat, KeyReport, RouteUpdate, RouteRequest, Resignation, TopicRelay>;
+using GossipMessage = std::variant<Beat,
+                                   KeyReport,
+                                   RouteUpdate,
+                                   RouteRequest,
+                                   Resignation,
+                                   TopicRelay,
+                                   TopicRequest>;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/gossip/topic_batch.cpp
+++ b/src/sapphirehook/gossip/topic_batch.cpp
@@ -11,8 +11,14 @@
 
 /** Bytes of a part; with its envelope it fits the usual 1,500 of a datagram. */
 constexpr std::size_t kPartBytes = 1150;
-/** Parts of a batch that is passed on at most. */
-constexpr std::size_t kMostParts = 64;
+/** Parts of a batch that is passed on unasked at most: a configuration of about
+    1 MB. */
+constexpr std::size_t kMostPartsUnasked = 64;
+/** Parts of a batch at most; a record of a store has some MB. */
+constexpr std::size_t kMostParts = 1024;
+/** Batches that are kept of each sender and topic: the changes of 2 s at the
+    rate at which a large fleet is told of them. */
+constexpr std::size_t kKeptBatches = 4;
 /** Largest batch once it is unpacked, in bytes. */
 constexpr std::size_t kMaxUnpacked = std::size_t{ 4 } << 20U;
 /** A window of 8 KiB and little state, which costs 32 KiB while compressing;
@@ -109,6 +115,31 @@
   return relays;
 }
 
+bool
+IsPassedOnUnasked(std::size_t aParts) noexcept
+{
+  return aParts <= kMostPartsUnasked;
+}
+
+BatchAssembler::Partial&
+BatchAssembler::PartialOf(const std::string& aSender, const TopicRelay& aPart)
+{
+  auto& partials = m_partials[{ aSender, aPart.m_topic }];
+  const auto found =
+    std::find_if(partials.begin(), partials.end(), [&](const Partial& aOne) {
+      return aOne.m_from == aPart.m_from && aOne.m_next == aPart.m_next &&
+             aOne.m_count == aPart.m_parts;
+    });
+  if (found != partials.end()) {
+    return *found;
+  }
+  if (partials.size() >= kKeptBatches) {
+    partials.pop_front();
+  }
+  return partials.emplace_back(
+    Partial{ aPart.m_from, aPart.m_next, aPart.m_parts, {} });
+}
+
 std::optional<TopicBatch>
 BatchAssembler::Add(const std::string& aSender, const TopicRelay& aPart)
 {
@@ -116,11 +147,7 @@
       aPart.m_part >= aPart.m_parts || aPart.m_next <= aPart.m_from) {
     return std::nullopt;
   }
-  const auto key = std::pair(aSender, aPart.m_topic);
-  auto& partial = m_partials[key];
-  if (partial.m_from != aPart.m_from || partial.m_next != aPart.m_next) {
-    partial = { aPart.m_from, aPart.m_next, {} };
-  }
+  auto& partial = PartialOf(aSender, aPart);
   partial.m_parts[aPart.m_part] = aPart.m_bytes;
   if (partial.m_parts.size() < aPart.m_parts) {
     return std::nullopt;
@@ -129,7 +156,10 @@
   for (const auto& [part, piece] : partial.m_parts) {
     bytes += piece;
   }
-  m_partials.erase(key);
+  // Batches up to the same offset are needless from now on.
+  std::erase_if(
+    m_partials[{ aSender, aPart.m_topic }],
+    [&](const Partial& aOne) { return aOne.m_next <= aPart.m_next; });
   const auto plain = Decompress(std::move(bytes));
   if (!plain) {
     return std::nullopt;
@@ -149,4 +179,35 @@
   return batch;
 }
 
+std::optional<PartialBatch>
+BatchAssembler::Begun(const std::string& aSender,
+                      const std::string& aTopic,
+                      Offset aHave) const
+{
+  const auto found = m_partials.find({ aSender, aTopic });
+  if (found == m_partials.end()) {
+    return std::nullopt;
+  }
+  const Partial* best = nullptr;
+  const auto missing = [](const Partial& aOne) {
+    return aOne.m_count - aOne.m_parts.size();
+  };
+  for (const auto& partial : found->second) {
+    const bool follows = partial.m_from <= aHave && aHave < partial.m_next;
+    if (follows && (best == nullptr || missing(partial) <= missing(*best))) {
+      best = &partial;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  PartialBatch batch{ best->m_from, best->m_next, {} };
+  for (unsigned part = 0; part < best->m_count; ++part) {
+    if (!best->m_parts.contains(part)) {
+      batch.m_missing.push_back(part);
+    }
+  }
+  return batch;
+}
+
 } // namespace sapphirehook
--- a/src/sapphirehook/keys/block_queue.cpp
+++ b/src/sapphirehook/keys/block_queue.cpp
@@ -1,6 +1,5 @@
 #include "sapphirehook/keys/block_queue.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace sapphirehook {
@@ -12,6 +11,11 @@
 
 } // namespace
 
+BlockQueue::BlockQueue(double aBytesPerSecond)
+  : m_credit(aBytesPerSecond, kMostCredit)
+{
+}
+
 void
 BlockQueue::Add(const BlockOrder& aOrder)
 {
@@ -23,11 +27,7 @@
 std::optional<BlockOrder>
 BlockQueue::TakeNext(TimePoint aNow)
 {
-  const std::chrono::duration<double> passed =
-    aNow - std::exchange(m_creditAt, aNow);
-  m_credit = std::min(m_credit + passed.count() * m_bytesPerSecond,
-                      kMostCredit.count() * m_bytesPerSecond);
-  if (m_orders.empty() || m_credit <= 0.0) {
+  if (!m_credit.MaySpend(aNow) || m_orders.empty()) {
     return std::nullopt;
   }
   BlockOrder next = std::move(m_orders.front());
--- a/src/sapphirehook/keys/block_queue.hpp
+++ b/src/sapphirehook/keys/block_queue.hpp
@@ -1,7 +1,7 @@
 #ifndef SAPPHIREHOOK_KEYS_BLOCK_QUEUE_HPP
 #define SAPPHIREHOOK_KEYS_BLOCK_QUEUE_HPP
 
-#include "sapphirehook/core/time.hpp"
+#include "sapphirehook/core/byte_credit.hpp"
 
 #include <compare>
 #include <cstddef>
@@ -28,10 +28,7 @@
 class BlockQueue
 {
 public:
-  explicit BlockQueue(double aBytesPerSecond)
-    : m_bytesPerSecond(aBytesPerSecond)
-  {
-  }
+  explicit BlockQueue(double aBytesPerSecond);
 
   /** Adds an order; one that waits already is not sent twice. */
   void Add(const BlockOrder& aOrder);
@@ -40,20 +37,14 @@
   [[nodiscard]] std::optional<BlockOrder> TakeNext(TimePoint aNow);
 
   /** Counts what has been sent. */
-  void OnSent(std::size_t aBytes) noexcept
-  {
-    m_credit -= static_cast<double>(aBytes);
-  }
+  void OnSent(std::size_t aBytes) noexcept { m_credit.Spend(aBytes); }
 
   [[nodiscard]] bool IsEmpty() const noexcept { return m_orders.empty(); }
 
   void Clear();
 
 private:
-  double m_bytesPerSecond;
-  /** Bytes that may be sent now; below zero after a large block. */
-  double m_credit = 0.0;
-  TimePoint m_creditAt{};
+  ByteCredit m_credit;
   std::deque<BlockOrder> m_orders;
   std::set<BlockOrder> m_waiting;
 };
--- a/src/sapphirehook/store/fwd.hpp
+++ b/src/sapphirehook/store/fwd.hpp
@@ -8,6 +8,7 @@
 struct KeyedPage;
 struct AppendOutcome;
 class TopicReader;
+class TopicImage;
 class OutageWatch;
 class TopicWriter;
 
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -79,7 +79,7 @@
 }
 
 bool
-TopicReader::Refresh()
+TopicReader::Refresh(Offset aKnownEnd)
 {
   const auto until = m_client.HasAnswerBegun()
                        ? m_client.LastBytesAt() + kAnswerGoesOnWithin
@@ -88,6 +88,9 @@
     return false;
   }
   m_client.Abort();
+  m_readingNewest =
+    m_readingNewest ||
+    (aKnownEnd > m_from && m_image.IsSmallerThan(aKnownEnd - m_from));
   Next(Millis(0));
   return true;
 }
@@ -135,22 +138,29 @@
   if (m_from >= aNext) {
     return RelayOutcome::Known;
   }
-  if (m_readingNewest) {
-    return RelayOutcome::ReadingNewest;
+  if (!TakesRelays()) {
+    return m_readingNewest ? RelayOutcome::ReadingNewest
+                           : RelayOutcome::Reading;
   }
   if (m_from < aFrom) {
     return RelayOutcome::Gap;
   }
-  const bool waits = m_paused && !m_client.IsBusy();
-  if (!waits && !m_unserved) {
-    return RelayOutcome::Reading;
-  }
-  if (m_client.IsBusy()) {
+  if (m_paused) {
+    Stop();
+  } else if (m_client.IsBusy()) {
     // What that call brings would start before these records.
     m_client.Abort();
     Next(m_backoff.Next());
   }
   const Offset known = std::exchange(m_from, aNext);
+  if (aFrom == 0) {
+    RemoveUnlisted(aRecords, aNext - 1);
+    m_image.OnWhole(aNext);
+  }
+  m_readingNewest = false;
+  m_caughtUp = true;
+  m_listed.clear();
+  m_after.clear();
   for (const auto& record : aRecords) {
     if (record.m_offset >= known) {
       Give(record);
@@ -172,12 +182,13 @@
   if (m_after.empty()) {
     m_newestAskedAt = m_calledAt;
   }
-  m_client.Call(m_protocol.m_newest(m_topic, m_after),
-                kCallTimeout,
-                [this](const CallResult& aResult) {
-                  OnNewest(m_protocol.m_parseNewest(aResult), aResult);
-                },
-                kMostTransfer);
+  m_client.Call(
+    m_protocol.m_newest(m_topic, m_after),
+    kCallTimeout,
+    [this](const CallResult& aResult) {
+      OnNewest(m_protocol.m_parseNewest(aResult), aResult);
+    },
+    kMostTransfer);
 }
 
 void
@@ -194,7 +205,7 @@
   }
   for (const auto& record : aPage.m_records) {
     m_after = record.m_key;
-    m_listed.insert(record.m_key);
+    m_listed.push_back({ record.m_offset, record.m_key, std::nullopt });
     Give(record);
   }
   if (aPage.m_hasMore && !aPage.m_records.empty()) {
@@ -208,12 +219,8 @@
 TopicReader::FinishNewest()
 {
   // A key that is no longer listed was removed by a forgotten record.
-  const auto before = m_keys;
-  for (const auto& key : before) {
-    if (!m_listed.contains(key)) {
-      Give({ m_newestEnd, key, std::nullopt });
-    }
-  }
+  RemoveUnlisted(m_listed, m_newestEnd);
+  m_image.OnWhole(m_newestEnd);
   m_listed.clear();
   m_after.clear();
   // Pages are not a snapshot: what changed meanwhile is read again.
@@ -234,12 +241,13 @@
   const bool atOnce = m_paused || std::exchange(m_probing, false);
   const Millis wait = atOnce ? Millis(0) : m_times.m_wait;
   const Millis slack = m_paused ? kCallTimeout : kAnswerSlack;
-  m_client.Call(m_protocol.m_read(m_topic, m_from, wait),
-                wait + slack,
-                [this](const CallResult& aResult) {
-                  OnRead(m_protocol.m_parseRead(aResult, m_from), aResult);
-                },
-                wait + kMostTransfer);
+  m_client.Call(
+    m_protocol.m_read(m_topic, m_from, wait),
+    wait + slack,
+    [this](const CallResult& aResult) {
+      OnRead(m_protocol.m_parseRead(aResult, m_from), aResult);
+    },
+    wait + kMostTransfer);
 }
 
 void
@@ -277,13 +285,18 @@
 }
 
 void
-TopicReader::Give(const KeyedRecord& aRecord)
+TopicReader::RemoveUnlisted(const std::vector<KeyedRecord>& aListed,
+                            Offset aOffset)
 {
-  if (aRecord.m_value) {
-    m_keys.insert(aRecord.m_key);
-  } else {
-    m_keys.erase(aRecord.m_key);
+  for (const auto& key : m_image.KeysBeside(aListed)) {
+    Give({ aOffset, key, std::nullopt });
   }
+}
+
+void
+TopicReader::Give(const KeyedRecord& aRecord)
+{
+  m_image.Add(aRecord);
   m_events.m_onRecord(aRecord);
 }
 
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -3,12 +3,13 @@
 
 #include "sapphirehook/core/backoff.hpp"
 #include "sapphirehook/store/store_protocol.hpp"
+#include "sapphirehook/store/topic_image.hpp"
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sapphirehook {
 
@@ -102,8 +103,10 @@
 
   /** Ends the call under way, if any, and makes the next one on a new
       connection at once. Returns false, and does nothing, while an answer to
-      that call may still come. */
-  bool Refresh();
+      that call may still come. The newest records are read in place of the
+      history when that is less up to aKnownEnd, the end of the topic as far as
+      it is known. */
+  bool Refresh(Offset aKnownEnd = 0);
 
   /** Makes a call that does not wait, in place of one that does, to learn
       whether the store answers. */
@@ -118,10 +121,10 @@
   /** Follows the topic by itself again. */
   void Resume();
 
-  /** Takes the records between two offsets, which another daemon has read and
-      passed on, when they follow on what has been given and this reader does
-      not follow the topic by itself. It does not while it is paused and has no
-      call under way, or while the store does not serve it. */
+  /** Takes the newest records between two offsets, which another daemon has
+      passed on, when they follow on what has been given and TakesRelays holds.
+      From 0 on they are all keys that are left: others that are known are
+      removed. They end the call under way, which would bring the same. */
   RelayOutcome Accept(Offset aFrom,
                       Offset aNext,
                       const std::vector<KeyedRecord>& aRecords);
@@ -135,6 +138,20 @@
 
   [[nodiscard]] bool IsPaused() const noexcept { return m_paused; }
 
+  /** Takes what others pass on until the store has served a call, since they
+      have records that this reader's own call does not bring. */
+  void DependOnRelays() noexcept { m_unserved = true; }
+
+  /** Whether this reader depends on what others pass on: it is paused, or the
+      store did not serve its last call. */
+  [[nodiscard]] bool TakesRelays() const noexcept
+  {
+    return m_paused || m_unserved;
+  }
+
+  /** What is known of the topic. */
+  [[nodiscard]] const TopicImage& Image() const noexcept { return m_image; }
+
   /** Offset behind the last record that was given. */
   [[nodiscard]] Offset End() const noexcept { return m_from; }
 
@@ -146,6 +163,7 @@
   void OnNewest(const KeyedPage& aPage, const CallResult& aResult);
   void ReadOn();
   void OnRead(const KeyedPage& aPage, const CallResult& aResult);
+  void RemoveUnlisted(const std::vector<KeyedRecord>& aListed, Offset aOffset);
   void Give(const KeyedRecord& aRecord);
   void FinishNewest();
   void OnFault(StoreAnswer aAnswer, const CallResult& aResult);
@@ -161,7 +179,7 @@
   bool m_caughtUp = false;
   bool m_paused = false;
   bool m_probing = false;
-  /** The last call was not served. */
+  /** The last call was not served, or does not bring what there is. */
   bool m_unserved = false;
   bool m_readingNewest = true;
   Offset m_from = 0;
@@ -169,8 +187,8 @@
   std::string m_after;
   TimePoint m_newestAskedAt{};
   TimePoint m_calledAt{};
-  std::set<std::string> m_keys;
-  std::set<std::string> m_listed;
+  TopicImage m_image;
+  std::vector<KeyedRecord> m_listed;
 };
 
 } // namespace sapphirehook
--- a/test/process/configuration_spread.cpp
+++ b/test/process/configuration_spread.cpp
@@ -51,6 +51,7 @@
   }
   add("added", AddedPath(aVersion));
   config.m_services["plain"].m_keyed = false;
+  config.m_services["keyed"].m_keyed = true; // so that a daemon leads
   return config;
 }
 
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -248,7 +248,9 @@
   REQUIRE(bed.m_troubles > 0);
   CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }) == RelayOutcome::Taken);
   CHECK(bed.m_given.back() == "b=x");
-  // Once it is served again it goes on behind them.
+  // Once it is served again it goes on behind them. A call that was under way
+  // is given up; what the store has read of it comes first.
+  bed.RunFor(Millis(20));
   bed.m_store.m_asked.clear();
   bed.m_store.m_answer = [](const std::string&) {
     return std::optional(Page(8, { { "c", "1" } }));
@@ -288,6 +290,75 @@
   CHECK(bed.m_troubles > 0);
 }
 
+TEST_CASE("a reader whose own call brings nothing takes what peers have",
+          "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  CHECK_FALSE(bed.m_reader.TakesRelays());
+  bed.m_reader.DependOnRelays();
+  CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }) == RelayOutcome::Taken);
+  CHECK(bed.m_troubles == 0);
+  // Once a call has been served it follows the topic by itself again.
+  bed.m_page = Page(8, { { "c", "1" } });
+  bed.RunFor(Millis(400));
+  CHECK(bed.m_given.back() == "c=1");
+  CHECK_FALSE(bed.m_reader.TakesRelays());
+}
+
+TEST_CASE("a reader that starts without the store takes all keys from a peer",
+          "[store]")
+{
+  Bed bed;
+  bed.m_store.m_answer = [](const std::string&) {
+    return std::optional<std::string>("not a page");
+  };
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  CHECK_FALSE(bed.m_reader.IsCaughtUp());
+  CHECK(bed.m_reader.Accept(5, 7, { { 6, "b", "x" } }) == RelayOutcome::Gap);
+  CHECK(bed.m_reader.Accept(0, 7, { { 6, "b", "x" } }) == RelayOutcome::Taken);
+  CHECK(bed.m_reader.IsCaughtUp());
+  CHECK(bed.m_reader.End() == 7);
+}
+
+TEST_CASE("a batch of all keys removes those that are not in it", "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  bed.m_reader.Pause();
+  CHECK(bed.m_reader.Accept(0, 9, { { 8, "b", "x" } }) == RelayOutcome::Taken);
+  CHECK(bed.m_given == std::vector<std::string>{ "a=1", "a=-", "b=x" });
+  CHECK(bed.m_reader.Image().Since(0).size() == 1);
+}
+
+TEST_CASE("a reader far behind reads the newest records, not the history",
+          "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  bed.m_reader.Pause();
+  const auto newest = [&] {
+    return std::count_if(bed.m_store.m_asked.begin(),
+                         bed.m_store.m_asked.end(),
+                         [](const std::string& aTarget) {
+                           return aTarget.find("log-newest") !=
+                                  std::string::npos;
+                         });
+  };
+  const auto before = newest();
+  REQUIRE(bed.m_reader.Refresh(6));
+  bed.RunFor(Millis(50));
+  CHECK(newest() == before);
+  bed.RunFor(Millis(700));
+  REQUIRE(bed.m_reader.Refresh(8));
+  bed.RunFor(Millis(50));
+  CHECK(newest() == before + 1);
+}
+
 TEST_CASE("records that are passed on end a paused reader's own read",
           "[store]")
 {
