Logs: lines of the daemon's own state have room of their own

Cause: a leader that moves ranges writes more than the 400 lines of a second, and what was left out was the newest, whatever it was. Evidence: log-lines-dropped with events at that host in those seconds; records-passed-on names the version. Ruled out: a late leader (the others have its records within 0.3 s).

--- a/src/sapphirehook/core/event_log.cpp
+++ b/src/sapphirehook/core/event_log.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/** Most lines of all kinds, and of routine ones, in a second. */
-constexpr unsigned kMaxLines = 400;
-constexpr unsigned kMaxRoutineLines = 20;
 /** Most bytes that wait for the system to take them. */
 constexpr std::size_t kMaxBuffer = 131'072;
 
@@ -78,33 +75,27 @@
 }
 
 void
-EventLog::BeginSecond()
+EventLog::TellDropped()
 {
   if (m_droppedRoutine + m_droppedEvents > 0) {
     const auto routine = std::exchange(m_droppedRoutine, 0);
     const auto events = std::exchange(m_droppedEvents, 0);
-    m_lines = 0;
     Write(LogLine("log-lines-dropped")
             .Add("routine", routine)
-            .Add("events", events));
+            .Add("events", events),
+          LogRank::State);
   }
-  m_lines = 0;
-  m_routineLines = 0;
 }
 
 void
 EventLog::Write(const LogLine& aLine, LogRank aRank)
 {
   const Millis now = SinceBoot(BootClock::now());
-  const auto second = std::chrono::duration_cast<std::chrono::seconds>(now);
-  if (second != m_second) {
-    m_second = second;
-    BeginSecond();
+  if (m_budget.Begin(now)) {
+    TellDropped();
   }
-  const bool isRoutine = aRank == LogRank::Routine;
-  if (++m_lines > kMaxLines || m_buffer.size() > kMaxBuffer ||
-      (isRoutine && ++m_routineLines > kMaxRoutineLines)) {
-    ++(isRoutine ? m_droppedRoutine : m_droppedEvents);
+  if (m_buffer.size() > kMaxBuffer || !m_budget.Take(aRank)) {
+    ++(aRank == LogRank::Routine ? m_droppedRoutine : m_droppedEvents);
     return;
   }
   const auto wall = std::chrono::duration_cast<Millis>(
--- a/src/sapphirehook/core/event_log.hpp
+++ b/src/sapphirehook/core/event_log.hpp
@@ -1,7 +1,7 @@
 #ifndef SAPPHIREHOOK_CORE_EVENT_LOG_HPP
 #define SAPPHIREHOOK_CORE_EVENT_LOG_HPP
 
-#include "sapphirehook/core/time.hpp"
+#include "sapphirehook/core/log_budget.hpp"
 
 #include <concepts>
 #include <cstdint>
@@ -10,15 +10,6 @@
 
 namespace sapphirehook {
 
-/** How important a line is when there are more than may be written. */
-enum class LogRank : unsigned char
-{
-  /** Changes of state and requests that failed. */
-  Event,
-  /** Requests that went well; the first to be left out. */
-  Routine,
-};
-
 /** One structured line: a JSON object with the time, the host, the event's
     name and its fields. */
 class LogLine
@@ -64,13 +55,11 @@
   void Flush();
 
 private:
-  void BeginSecond();
+  void TellDropped();
 
   std::string m_host;
   std::string m_buffer;
-  std::chrono::seconds m_second{};
-  unsigned m_lines = 0;
-  unsigned m_routineLines = 0;
+  LogBudget m_budget;
   /** Lines of each rank that were left out since the last line that says so. */
   std::uint64_t m_droppedRoutine = 0;
   std::uint64_t m_droppedEvents = 0;
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -219,13 +219,14 @@
   m_log.Write(LogLine("started")
                 .Add("version", SAPPHIREHOOK_VERSION)
                 .Add("zone", m_settings.m_zone)
-                .Add("incarnation", m_gossip.Self().m_incarnation));
+                .Add("incarnation", m_gossip.Self().m_incarnation),
+              LogRank::State);
   m_registry.Start(m_settings.m_firstStart);
   m_configReader.Start();
   m_endpointReader.Start();
   m_beatTimer.StartEvery(kBeatEvery);
   m_loop.Run();
-  m_log.Write(LogLine("stopped"));
+  m_log.Write(LogLine("stopped"), LogRank::State);
   m_log.Flush();
 }
 
@@ -264,7 +265,8 @@
   if (!config.ok()) {
     m_log.Write(LogLine("configuration-rejected")
                   .Add("offset", aRecord.m_offset)
-                  .Add("why", std::string(config.status().message())));
+                  .Add("why", std::string(config.status().message())),
+                LogRank::State);
     return;
   }
   if (config->m_version < m_configVersion) {
@@ -277,7 +279,8 @@
                   .Add("offset", aRecord.m_offset)
                   .Add("routes", config->m_routes.size())
                   .Add("bytes", aRecord.m_value->size())
-                  .Add("from", m_recordsFrom));
+                  .Add("from", m_recordsFrom),
+                LogRank::State);
     m_engine.SetRoutes(std::make_shared<const RouteTable>(*std::move(config)));
     m_ownership.OnChange();
   }
@@ -362,7 +365,8 @@
     m_storeWorks = false;
     m_log.Write(LogLine("store-lost")
                   .Add("topic", aTopic)
-                  .Add("answer", StoreAnswerName(aAnswer)));
+                  .Add("answer", StoreAnswerName(aAnswer)),
+                LogRank::State);
   }
   m_ownership.SetStoreWorks(false);
 }
@@ -395,7 +399,7 @@
 {
   if (!m_storeWorks) {
     m_storeWorks = true;
-    m_log.Write(LogLine("store-reached").Add("topic", aTopic));
+    m_log.Write(LogLine("store-reached").Add("topic", aTopic), LogRank::State);
   }
   m_storeProvenAt = BootClock::now();
   m_outages.OnServed(m_storeProvenAt);
@@ -426,7 +430,8 @@
   }
   m_stopping = true;
   m_stopBegan = BootClock::now();
-  m_log.Write(LogLine("stopping").Add("unanswered", m_engine.Unanswered()));
+  m_log.Write(LogLine("stopping").Add("unanswered", m_engine.Unanswered()),
+              LogRank::State);
   m_ownership.BeginStop();
   m_engine.BeginStop();
   SendBeat();
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -243,7 +243,8 @@
       m_log.Write(LogLine("reader-caught-up")
                     .Add("topic", topic)
                     .Add("have", reader.End())
-                    .Add("behind_ms", *wasBehind));
+                    .Add("behind_ms", *wasBehind),
+                  LogRank::State);
     }
     if (!catchUp.BehindSince()) {
       continue;
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -216,7 +216,8 @@
                 .Add("term", m_claimTerm)
                 .Add("end", m_end)
                 .Add("earlier_grants_ms",
-                     m_leadership.ForeignGrantsEnd() - BootClock::now()));
+                     m_leadership.ForeignGrantsEnd() - BootClock::now()),
+              LogRank::State);
   m_sequence = 0;
   m_appending.clear();
   m_appendBusy = false;
@@ -293,7 +294,8 @@
     return;
   }
   m_log.Write(
-    LogLine("stops-leading").Add("term", m_claimTerm).Add("why", aWhy));
+    LogLine("stops-leading").Add("term", m_claimTerm).Add("why", aWhy),
+    LogRank::State);
   m_led.clear();
   m_maps.StopLeading();
   m_writer.Abort();
