Test: bytes without end from an endpoint end with the request

Eight cases: no answer at all, one line or many of a head, bodies that name no request, answers to another, chunked and unbounded bodies of the answer itself, the size of a chunk. In each the connection is closed and the caller has its final answer, which never looks whole, within 0.5 s of the route's timeout, and the request ran once.

--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -426,6 +426,92 @@
   }
 }
 
+TEST_CASE("bytes without end from an endpoint end with the request",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("plain", false);
+  std::string begin;
+  std::string more;
+  std::string looksWhole = "0\r\n\r\n";
+  SECTION("that are no answer")
+  {
+    begin = "\x01\x02";
+    more = std::string(16'384, '\x03');
+  }
+  SECTION("in a line of the head")
+  {
+    begin = "HTTP/1.1 200 OK\r\nX-Long: ";
+    more = std::string(16'384, 'h');
+  }
+  SECTION("in lines of the head")
+  {
+    begin = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < 200; ++i) {
+      more += "X-More: of the same\r\n";
+    }
+  }
+  SECTION("in a body that names no request")
+  {
+    begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    more = Concat("4000\r\n", std::string(16'384, 'b'), "\r\n");
+  }
+  SECTION("in answers to another request")
+  {
+    more = Concat("HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: other\r\n"
+                  "Content-Length: 16384\r\n\r\n",
+                  std::string(16'384, 'o'));
+  }
+  SECTION("in the body of the answer")
+  {
+    begin = "HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: a\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n";
+    more = Concat("4000\r\n", std::string(16'384, 'b'), "\r\n");
+  }
+  SECTION("in the body of an answer without a length")
+  {
+    begin = "HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: a\r\n\r\n";
+    more = std::string(16'384, 'b');
+  }
+  SECTION("in the size of a chunk")
+  {
+    begin = "HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: a\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n4000;";
+    more = std::string(16'384, 'e');
+  }
+  TcpStream* stream = nullptr;
+  bed.SetScript([&](auto& aConnection, auto&) {
+    stream = aConnection.m_stream.get();
+    stream->Write(begin);
+  });
+  Timer flood(bed.m_loop, [&] {
+    if (stream != nullptr && bed.m_one.m_ended == 0 && stream->Unsent() == 0) {
+      stream->Write(more);
+    }
+  });
+  flood.StartEvery(Millis(1));
+  const TimePoint asked = BootClock::now();
+  bed.Send("GET /once/x HTTP/1.1\r\nHost: h\r\n"
+           "X-Sapphirehook-Attempt-Id: a\r\n\r\n");
+  // The route's timeout is 600 ms, and its final answer is due 500 ms later.
+  CHECK(bed.Until([&] { return bed.m_one.m_ended == 1; }, Millis(1100)));
+  CHECK(bed.Until(
+    [&] {
+      return bed.m_callerEnded ||
+             (Bed::Is(bed.m_got, 502) &&
+              bed.m_got.find("\r\n\r\n") != std::string::npos) ||
+             Bed::Is(bed.m_got, 504);
+    },
+    std::chrono::duration_cast<Millis>(asked + Millis(1100) -
+                                       BootClock::now())));
+  const bool failed = Bed::Is(bed.m_got, 502) || Bed::Is(bed.m_got, 504);
+  const auto end = bed.m_got.size() < looksWhole.size()
+                     ? std::string()
+                     : bed.m_got.substr(bed.m_got.size() - looksWhole.size());
+  CHECK((failed || end != looksWhole));
+  CHECK(bed.Arrived() == 1);
+}
+
 TEST_CASE("when a caller leaves, its request is given up at the endpoint",
           "[gateway]")
 {
