An answer without end to an order is given up early

What callers saw: nothing yet. Cause: read for the test of endless bytes: the answer to a grant or a release was kept up to 8 MB, for as long as its call lasted, for each order under way; a few such endpoints exceed a host of 160 MB. Evidence: 'an answer without end to an order is given up early' failed (no end within 200 ms, where the call ends at 350 ms) and passes. Change: HttpClient ends a call whose answer is longer than its caller's limit, 16 KB for orders, 8 MB for pages of the store.

--- a/src/sapphirehook/gateway/endpoint_orders.cpp
+++ b/src/sapphirehook/gateway/endpoint_orders.cpp
@@ -9,6 +9,8 @@
 
 /** A grant is answered at once; without an answer it is sent again. */
 constexpr Millis kGrantTimeout{ 350 };
+/** Largest answer to an order, in bytes; a sound one has hardly any body. */
+constexpr std::size_t kMostAnswerToOrder = 16'384;
 /** A release is answered when work has ended; it is asked for again after
     this, which loses nothing. */
 constexpr Millis kReleaseTimeout{ 1200 };
@@ -38,7 +40,8 @@
 {
   for (std::size_t i = 0; i < kGrantClients; ++i) {
     m_grantClients.push_back(
-      { std::make_unique<HttpClient>(m_loop, m_address), std::nullopt });
+      { std::make_unique<HttpClient>(m_loop, m_address, kMostAnswerToOrder),
+        std::nullopt });
   }
 }
 
@@ -191,7 +194,8 @@
     }
   }
   if (client == nullptr) {
-    m_releaseClients.push_back(std::make_unique<HttpClient>(m_loop, m_address));
+    m_releaseClients.push_back(
+      std::make_unique<HttpClient>(m_loop, m_address, kMostAnswerToOrder));
     client = m_releaseClients.back().get();
   }
   client->Call(m_protocol.m_release(aRelease.m_order),
--- a/src/sapphirehook/http1/client.cpp
+++ b/src/sapphirehook/http1/client.cpp
@@ -11,8 +11,6 @@
 
 /** A host on the same network accepts within a few round trips. */
 constexpr Millis kConnectTimeout{ 400 };
-/** Largest answer to a small call that is kept, in bytes. */
-constexpr std::size_t kMaxAnswer = std::size_t{ 8 } << 20U;
 
 } // namespace
 
@@ -30,9 +28,12 @@
   return text;
 }
 
-HttpClient::HttpClient(EventLoop& aLoop, sockaddr_in aPeer)
+HttpClient::HttpClient(EventLoop& aLoop,
+                       sockaddr_in aPeer,
+                       std::size_t aMostAnswer)
   : m_loop(aLoop)
   , m_peer(aPeer)
+  , m_mostAnswer(aMostAnswer)
   , m_timer(aLoop, [this] { GiveUp(); })
 {
 }
@@ -70,13 +71,10 @@
   CloseConnection();
   m_parser = std::make_unique<MessageParser>(
     MessageSide::Response,
-    MessageEvents{ nullptr,
-                   [this](std::string_view aPiece) {
-                     if (m_answer.m_body.size() < kMaxAnswer) {
-                       m_answer.m_body.append(aPiece);
-                     }
-                   },
-                   nullptr });
+    MessageEvents{
+      nullptr,
+      [this](std::string_view aPiece) { m_answer.m_body.append(aPiece); },
+      nullptr });
   m_stream = std::make_shared<TcpStream>(
     m_loop,
     StreamEvents{ [this] { OnConnected(); },
@@ -120,6 +118,10 @@
       Millis(0)));
   }
   const std::size_t used = m_parser->Feed(aBytes);
+  if (m_answer.m_body.size() > m_mostAnswer) {
+    GiveUp();
+    return;
+  }
   if (m_parser->Fault() != ParseFault::None ||
       (m_parser->IsComplete() && used < aBytes.size())) {
     const bool answered = m_parser->Fault() == ParseFault::None;
--- a/src/sapphirehook/http1/client.hpp
+++ b/src/sapphirehook/http1/client.hpp
@@ -52,6 +52,10 @@
     is full is about half a second long. */
 inline constexpr Millis kAnswerGoesOnWithin{ 1000 };
 
+/** Largest answer that is taken unless a client is told otherwise, in bytes: a
+    page of a store has 1 MB. */
+inline constexpr std::size_t kMostAnswer = std::size_t{ 8 } << 20U;
+
 /** Makes small calls to one address, one at a time over one connection that
     is kept open. */
 class HttpClient
@@ -59,7 +63,11 @@
 public:
   using Handler = std::function<void(const CallResult&)>;
 
-  HttpClient(EventLoop& aLoop, sockaddr_in aPeer);
+  /** A longer answer than aMostAnswer, in bytes, ends its call as one without
+      an answer. */
+  HttpClient(EventLoop& aLoop,
+             sockaddr_in aPeer,
+             std::size_t aMostAnswer = kMostAnswer);
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
@@ -118,6 +126,7 @@
 
   EventLoop& m_loop;
   sockaddr_in m_peer;
+  std::size_t m_mostAnswer;
   std::shared_ptr<TcpStream> m_stream;
   std::unique_ptr<MessageParser> m_parser;
   Timer m_timer;
--- a/test/sapphirehook/gateway/endpoint_orders.cpp
+++ b/test/sapphirehook/gateway/endpoint_orders.cpp
@@ -19,6 +19,12 @@
     : m_address(support::FreeAddress())
     , m_server(m_loop,
                [this](const HttpExchangePtr& aExchange) {
+                 if (m_flood) {
+                   aExchange->AnswerRaw("HTTP/1.1 200 OK\r\n"
+                                        "Transfer-Encoding: chunked\r\n\r\n");
+                   m_unanswered.push_back(aExchange);
+                   return;
+                 }
                  if (m_silent) {
                    m_unanswered.push_back(aExchange);
                    return;
@@ -76,6 +82,8 @@
   sockaddr_in m_address;
   bool m_leaving = false;
   bool m_silent = false;
+  /** Answers begin and never end. */
+  bool m_flood = false;
   std::vector<HttpExchangePtr> m_unanswered;
   HttpServer m_server;
   EndpointOrders m_orders;
@@ -168,3 +176,24 @@
   CHECK_FALSE(bed.m_orders.RefusedSince());
   CHECK(bed.m_newConnections > 0);
 }
+
+TEST_CASE("an answer without end to an order is given up early", "[gateway]")
+{
+  Bed bed;
+  bed.m_flood = true;
+  unsigned sent = 0;
+  Timer flood(bed.m_loop, [&] {
+    for (const auto& exchange : bed.m_unanswered) {
+      exchange->AnswerRaw("1000\r\n" + std::string(4096, 'x') + "\r\n");
+      ++sent;
+    }
+  });
+  flood.StartEvery(Millis(1));
+  bed.m_orders.Grant({ 1, "e", { { 0, 9 }, 1, Millis(4000), "" } });
+  // Well before the 350 ms after which a grant without an answer ends.
+  CHECK(support::RunUntil(
+    bed.m_loop, [&] { return !bed.m_ends.empty(); }, Millis(200)));
+  REQUIRE_FALSE(bed.m_ends.empty());
+  CHECK(bed.m_ends.back() == OrderEnd::NoAnswer);
+  CHECK(sent > 3);
+}
