--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -58,6 +58,7 @@
   [[nodiscard]] const std::vector<TopicRelay>& RelaysSince(
     const std::string& aTopic,
     Offset aHave);
+  /** Passes on what was read from an offset on, if this daemon does so. */
   void RelayRecords(const std::string& aTopic, Offset aFrom);
   void OnTopicRequest(const HostId& aFrom, const TopicRequest& aRequest);
   void OnRelay(const HostId& aFrom, const TopicRelay& aRelay);
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-/** The same for the leader, which finds a silent connection sooner. */
+/** How the leader reads the followed topics: it finds a silent connection
+   sooner than the others. */
 constexpr ReaderTimes kLeaderReads{ .m_wait = Millis(2000),
                                     .m_gather = Millis(60) };
 /** A daemon that follows a topic by itself reads anew when it has been behind
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -31,9 +31,9 @@
   Known,
   /** Records before them are missing. */
   Gap,
-  /** The newest records are being read. */
+  /** The reader reads the newest records by itself, and is served. */
   ReadingNewest,
-  /** The reader's own call is under way. */
+  /** It follows the topic by itself, and is served. */
   Reading,
 };
 
