Metrics and logs tell by whose word a host goes, and since when each version is in force

A collector keeps the first 4,000 bytes of the metrics, which ended in the histograms, and the last 130 lines of a host.

No logic changed.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -1,6 +1,5 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
-#include "sapphirehook/core/metric_text.hpp"
 #include "sapphirehook/core/text.hpp"
 #include "sapphirehook/gateway/internal/fleet_size.hpp"
 #include "sapphirehook/gateway/internal/reader_times.hpp"
@@ -274,6 +273,7 @@
   }
   if (config->m_version > m_configVersion || m_engine.Routes() == nullptr) {
     m_configVersion = config->m_version;
+    m_versions.Add(BootClock::now(), m_configVersion);
     m_log.Write(LogLine("configuration-in-force")
                   .Add("version", config->m_version)
                   .Add("offset", aRecord.m_offset)
@@ -352,37 +352,6 @@
   return readAt;
 }
 
-void
-Gateway::OnStoreTrouble(std::string_view aTopic, StoreAnswer aAnswer)
-{
-  const TimePoint now = BootClock::now();
-  if (aAnswer == StoreAnswer::TurnedAway) {
-    m_outages.OnRefused(now);
-  } else {
-    m_outages.OnSilence(now);
-  }
-  if (m_storeWorks) {
-    m_storeWorks = false;
-    m_log.Write(LogLine("store-lost")
-                  .Add("topic", aTopic)
-                  .Add("answer", StoreAnswerName(aAnswer)),
-                LogRank::State);
-  }
-  m_ownership.SetStoreWorks(false);
-}
-
-void
-Gateway::OnReadTrouble(const std::string& aTopic, const ReadTrouble& aTrouble)
-{
-  OnStoreTrouble(aTopic, aTrouble.m_answer);
-  WriteSparsely(aTopic,
-                LogLine("read-failed")
-                  .Add("topic", aTopic)
-                  .Add("answer", StoreAnswerName(aTrouble.m_answer))
-                  .Add("took_ms", aTrouble.m_took)
-                  .Add("bytes", aTrouble.m_bytes));
-}
-
 void
 Gateway::WriteSparsely(const std::string& aTopic, const LogLine& aLine)
 {
@@ -394,18 +363,6 @@
   }
 }
 
-void
-Gateway::OnStoreWorks(std::string_view aTopic)
-{
-  if (!m_storeWorks) {
-    m_storeWorks = true;
-    m_log.Write(LogLine("store-reached").Add("topic", aTopic), LogRank::State);
-  }
-  m_storeProvenAt = BootClock::now();
-  m_outages.OnServed(m_storeProvenAt);
-  m_ownership.SetStoreWorks(true);
-}
-
 void
 Gateway::Reload(const absl::StatusOr<GatewaySettings>& aSettings)
 {
@@ -454,16 +411,4 @@
   }
 }
 
-std::string
-Gateway::Metrics() const
-{
-  std::string text;
-  AppendSamples(text, m_engine.Metrics());
-  AppendMetric(text, "sapphirehook_config_version", "gauge", m_configVersion);
-  AppendMetric(
-    text, "sapphirehook_leads", "gauge", m_ownership.Leads() ? 1 : 0);
-  AppendMetric(text, "sapphirehook_store_works", "gauge", m_storeWorks ? 1 : 0);
-  return text;
-}
-
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/gateway/host_registry.hpp"
 #include "sapphirehook/gateway/ownership.hpp"
 #include "sapphirehook/gateway/settings.hpp"
+#include "sapphirehook/gateway/version_history.hpp"
 #include "sapphirehook/gossip/topic_catch_up.hpp"
 #include "sapphirehook/http1/server.hpp"
 #include "sapphirehook/store/outage_watch.hpp"
@@ -63,6 +64,7 @@
   void OnTopicRequest(const HostId& aFrom, const TopicRequest& aRequest);
   void OnRelay(const HostId& aFrom, const TopicRelay& aRelay);
   void ChooseReaders(TimePoint aNow);
+  void PauseReaders(TimePoint aNow, bool aPause);
   [[nodiscard]] bool RelaysBatches(TimePoint aNow) const;
   void OnStopTick();
   [[nodiscard]] bool IsReady() const;
@@ -89,6 +91,7 @@
   Timer m_directoryTimer;
   Timer m_catchUpTimer;
   std::uint64_t m_configVersion = 0;
+  VersionHistory m_versions;
   /** Who gave the records that are being taken in: the store or a peer. */
   std::string m_recordsFrom = "store";
   /** When lines that may repeat were last written. */
--- /dev/null
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -0,0 +1,78 @@
+#include "sapphirehook/gateway/gateway.hpp"
+
+#include "sapphirehook/core/metric_text.hpp"
+
+// What this daemon knows of the store, and says of its own state.
+
+namespace sapphirehook {
+
+void
+Gateway::OnStoreTrouble(std::string_view aTopic, StoreAnswer aAnswer)
+{
+  const TimePoint now = BootClock::now();
+  if (aAnswer == StoreAnswer::TurnedAway) {
+    m_outages.OnRefused(now);
+  } else {
+    m_outages.OnSilence(now);
+  }
+  if (m_storeWorks) {
+    m_storeWorks = false;
+    m_log.Write(LogLine("store-lost")
+                  .Add("topic", aTopic)
+                  .Add("answer", StoreAnswerName(aAnswer)),
+                LogRank::State);
+  }
+  m_ownership.SetStoreWorks(false);
+}
+
+void
+Gateway::OnReadTrouble(const std::string& aTopic, const ReadTrouble& aTrouble)
+{
+  OnStoreTrouble(aTopic, aTrouble.m_answer);
+  WriteSparsely(aTopic,
+                LogLine("read-failed")
+                  .Add("topic", aTopic)
+                  .Add("answer", StoreAnswerName(aTrouble.m_answer))
+                  .Add("took_ms", aTrouble.m_took)
+                  .Add("bytes", aTrouble.m_bytes));
+}
+
+void
+Gateway::OnStoreWorks(std::string_view aTopic)
+{
+  if (!m_storeWorks) {
+    m_storeWorks = true;
+    m_log.Write(LogLine("store-reached").Add("topic", aTopic), LogRank::State);
+  }
+  m_storeProvenAt = BootClock::now();
+  m_outages.OnServed(m_storeProvenAt);
+  m_ownership.SetStoreWorks(true);
+}
+
+/** The state of the daemon comes first: a collector that keeps only the
+    beginning of a long text still has it. */
+std::string
+Gateway::Metrics() const
+{
+  const TimePoint now = BootClock::now();
+  std::string text;
+  AppendMetric(text, "sapphirehook_config_version", "gauge", m_configVersion);
+  m_versions.AppendSamples(text, now);
+  AppendMetric(
+    text, "sapphirehook_leads", "gauge", m_ownership.Leads() ? 1 : 0);
+  AppendMetric(text, "sapphirehook_store_works", "gauge", m_storeWorks ? 1 : 0);
+  AppendMetric(text,
+               "sapphirehook_follows_store",
+               "gauge",
+               m_configReader.IsPaused() ? 0 : 1);
+  constexpr std::string_view kReadAge = "sapphirehook_topic_read_age_seconds";
+  AppendMetricType(text, kReadAge, "gauge");
+  for (const auto& [topic, readAt] : m_readAt) {
+    const std::chrono::duration<double> age = now - readAt;
+    text += Concat(kReadAge, "{topic=\"", topic, "\"} ", age.count(), "\n");
+  }
+  AppendSamples(text, m_engine.Metrics());
+  return text;
+}
+
+} // namespace sapphirehook
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -75,12 +75,8 @@
                        aNow < m_relayHeardAt + kRelayMissing;
   for (auto* reader : { &m_configReader, &m_endpointReader }) {
     reader->SetTimes(times);
-    if (relayed) {
-      reader->Pause();
-    } else {
-      reader->Resume();
-    }
   }
+  PauseReaders(aNow, relayed);
   // Whoever may lead has to know whether it reaches the store.
   if (relayed && !m_storeWorks && aNow >= m_probedAt + kProbePausedEvery) {
     m_probedAt = aNow;
@@ -88,6 +84,29 @@
   }
 }
 
+void
+Gateway::PauseReaders(TimePoint aNow, bool aPause)
+{
+  const bool before = m_configReader.IsPaused();
+  for (auto* reader : { &m_configReader, &m_endpointReader }) {
+    if (aPause) {
+      reader->Pause();
+    } else {
+      reader->Resume();
+    }
+  }
+  if (m_configReader.IsPaused() != before) {
+    m_log.Write(LogLine(before ? "follows-store" : "follows-peers")
+                  .Add("leads", m_ownership.Leads() ? 1 : 0)
+                  .Add("heir", m_ownership.IsHeir() ? 1 : 0)
+                  .Add("leader_relays_age_ms", aNow - m_leaderRelaysAt)
+                  .Add("relays_age_ms", aNow - m_relayHeardAt)
+                  .Add("read_age_ms", aNow - m_readAt[m_protocol.m_configTopic])
+                  .Add("version", m_configVersion),
+                LogRank::State);
+  }
+}
+
 bool
 Gateway::RelaysBatches(TimePoint aNow) const
 {
--- /dev/null
+++ b/src/sapphirehook/gateway/version_history.hpp
@@ -0,0 +1,37 @@
+#ifndef SAPPHIREHOOK_GATEWAY_VERSION_HISTORY_HPP
+#define SAPPHIREHOOK_GATEWAY_VERSION_HISTORY_HPP
+
+#include "sapphirehook/core/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace sapphirehook {
+
+/** The last versions of the configuration that came into force on this daemon,
+    and when. A single reading of the metrics tells how late each was, also
+    after the log lines about them have been dropped. */
+class VersionHistory
+{
+public:
+  /** A version came into force. */
+  void Add(TimePoint aNow, std::uint64_t aVersion);
+
+  /** Adds a sample for each version to a Prometheus text: the seconds since it
+      came into force. */
+  void AppendSamples(std::string& aText, TimePoint aNow) const;
+
+private:
+  struct InForce
+  {
+    std::uint64_t m_version = 0;
+    TimePoint m_since{};
+  };
+
+  std::deque<InForce> m_versions;
+};
+
+} // namespace sapphirehook
+
+#endif
