Tests that reproduce CONFIG: a fleet waits for a reader that has lost the store

The gateways of these tests are a bed of their own now, with endpoints and callers that a test scripts.

--- a/test/process/configuration_spread.cpp
+++ b/test/process/configuration_spread.cpp
@@ -1,12 +1,12 @@
-#include "platform/protocol.hpp"
-#include "platform/standin_formats.hpp"
+#include "process/gateway_bed.hpp"
 #include "sapphirehook/core/text.hpp"
-#include "soak/fleet.hpp"
-#include "support/loopback.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <filesystem>
+#include <map>
+#include <memory>
 #include <random>
+#include <set>
 
 using namespace sapphirehook;
 
@@ -55,105 +55,99 @@
   return config;
 }
 
-/** Gateways around a store, of which a test asks for the route that a version
-    has added. */
-class Bed
+/** Asks a gateway for a path until its configuration has a route for it. No
+    endpoint serves the route, so that what is asked is refused then. */
+class RouteWatch
 {
 public:
-  explicit Bed(std::size_t aGateways)
-    : m_protocol(platform::Protocol())
-    , m_folder(std::filesystem::temp_directory_path() /
-               Concat("sapphirehook-spread-", getpid(), "-", aGateways))
-    , m_fleet(m_loop, m_protocol, Options(aGateways))
+  RouteWatch(EventLoop& aLoop, sockaddr_in aGateway, std::string aTarget)
+    : m_client(aLoop, aGateway)
+    , m_target(std::move(aTarget))
+    , m_timer(aLoop, [this] { Ask(); })
   {
-    m_fleet.Start();
-    support::RunFor(m_loop, Millis(300));
-    Put(1);
-    for (std::size_t i = 0; i < aGateways; ++i) {
-      REQUIRE(IsInForceWithin(i, 1, kStartUp));
-    }
-    // A large fleet finds its leader, which then passes records on.
-    support::RunFor(m_loop, Millis(3000));
-    Put(2);
-    for (std::size_t i = 0; i < aGateways; ++i) {
-      REQUIRE(IsInForceWithin(i, 2, kInForceWithin));
-    }
+    m_timer.StartEvery(Millis(20));
   }
 
-  ~Bed()
-  {
-    m_fleet.End();
-    std::filesystem::remove_all(m_folder);
-  }
-  Bed(const Bed&) = delete;
-  Bed& operator=(const Bed&) = delete;
+  [[nodiscard]] bool IsFound() const noexcept { return m_found; }
 
-  void Put(unsigned aVersion)
-  {
-    m_fleet.CallStore(
-      soak::PutCall(m_protocol.m_configTopic,
-                    m_protocol.m_configKey,
-                    platform::WriteConfig(LargeConfig(aVersion)),
-                    {}));
-  }
-
-  /** Whether a gateway finds the route of a version in time. */
-  bool IsInForceWithin(std::size_t aGateway, unsigned aVersion, Millis aTime)
+private:
+  void Ask()
   {
-    HttpClient client(m_loop, m_fleet.m_gateways[aGateway].m_callers);
-    bool found = false;
-    Timer ask(m_loop, [&] {
-      if (client.IsBusy()) {
-        return;
-      }
-      client.Call({ "GET", Concat(AddedPath(aVersion), "x"), "", "" },
+    if (m_client.IsBusy() || m_found) {
+      return;
+    }
+    m_client.Call({ "GET", m_target, "", "" },
                   Millis(500),
-                  [&](const CallResult& aResult) {
-                    // No endpoint serves it, so that it is refused.
-                    found = aResult.m_end == CallEnd::Answered &&
-                            aResult.m_answer.m_head.m_status == 503 &&
-                            aResult.m_answer.m_body != kNoConfig;
+                  [this](const CallResult& aResult) {
+                    m_found = aResult.m_end == CallEnd::Answered &&
+                              aResult.m_answer.m_head.m_status == 503 &&
+                              aResult.m_answer.m_body == "no room in time";
                   });
-    });
-    ask.StartEvery(Millis(20));
-    return support::RunUntil(
-      m_loop, [&] { return found; }, aTime);
   }
 
-  /** Cuts a gateway from the store alone. */
-  void CutFromStore(std::size_t aGateway)
-  {
-    m_fleet.m_gateways[aGateway].m_storeLink->SetFault(soak::LinkFault::Cut,
-                                                       {});
-  }
+  HttpClient m_client;
+  std::string m_target;
+  Timer m_timer;
+  bool m_found = false;
+};
 
-  void LoseDatagrams(std::size_t aGateway, double aShare)
+/** Gateways with a large configuration, of which a test asks for the route that
+    a version has added. */
+class Bed : public test::GatewayBed
+{
+public:
+  explicit Bed(std::size_t aGateways)
+    : GatewayBed(aGateways)
   {
-    m_fleet.m_datagrams.SetLoss(m_fleet.m_gateways[aGateway].m_peers, aShare);
+    Put(1);
+    REQUIRE(LateOnes(1, kStartUp, {}).empty());
+    // A large fleet finds its leader, which then passes records on.
+    RunFor(Millis(3000));
+    Put(2);
+    REQUIRE(LateOnes(2, kInForceWithin, {}).empty());
   }
 
-  void RunFor(Millis aTime) { support::RunFor(m_loop, aTime); }
-
-private:
-  static constexpr const char* kNoConfig = "no configuration yet";
+  void Put(unsigned aVersion) { PutConfig(LargeConfig(aVersion)); }
 
-  soak::FleetOptions Options(std::size_t aGateways) const
+  /** Whether a gateway finds the route of a version in time. */
+  bool IsInForceWithin(std::size_t aGateway, unsigned aVersion, Millis aTime)
   {
-    std::filesystem::create_directories(m_folder);
-    soak::FleetOptions options;
-    options.m_self = Concat(SAPPHIREHOOK_BIN_DIR, "/soak");
-    options.m_gateway = Concat(SAPPHIREHOOK_BIN_DIR, "/sapphirehook-gateway");
-    options.m_folder = m_folder;
-    options.m_gateways = aGateways;
-    options.m_keyedEndpoints = 0;
-    options.m_plainEndpoints = 0;
-    return options;
+    std::set<std::size_t> others;
+    for (std::size_t i = 0; i < Gateways(); ++i) {
+      if (i != aGateway) {
+        others.insert(i);
+      }
+    }
+    return LateOnes(aVersion, aTime, others).empty();
   }
 
-  EventLoop m_loop;
-  GatewayProtocol m_protocol;
-  std::filesystem::path m_folder;
-  soak::Fleet m_fleet;
+  /** Returns the gateways that do not find the route of a version in time, but
+      for some that are not asked. */
+  std::set<std::size_t> LateOnes(unsigned aVersion,
+                                 Millis aTime,
+                                 const std::set<std::size_t>& aBut)
+  {
+    std::map<std::size_t, std::unique_ptr<RouteWatch>> watches;
+    for (std::size_t i = 0; i < Gateways(); ++i) {
+      if (!aBut.contains(i)) {
+        watches[i] = std::make_unique<RouteWatch>(
+          Loop(), CallersAddress(i), Concat(AddedPath(aVersion), "x"));
+      }
+    }
+    const auto isFound = [](const auto& aOne) {
+      return aOne.second->IsFound();
+    };
+    static_cast<void>(RunUntil(
+      [&] { return std::all_of(watches.begin(), watches.end(), isFound); },
+      aTime));
+    std::set<std::size_t> late;
+    for (const auto& one : watches) {
+      if (!isFound(one)) {
+        late.insert(one.first);
+      }
+    }
+    return late;
+  }
 };
 
 } // namespace
@@ -168,6 +162,55 @@
   CHECK(bed.IsInForceWithin(1, 3, kInForceWithin));
 }
 
+// The leader alone reads for a large fleet.
+TEST_CASE("a change reaches a large fleet whose leader has lost the store",
+          "[process]")
+{
+  constexpr std::size_t kLargeFleet = 18;
+  Bed bed(kLargeFleet);
+  const auto leader = bed.Leader();
+  // The leader's next read has begun shortly before it is cut off.
+  bed.Put(3);
+  bed.RunFor(Millis(600));
+  bed.CutFromStore(leader);
+  bed.Put(4);
+  CHECK(bed.LateOnes(4, kInForceWithin, { leader }).empty());
+}
+
+TEST_CASE("a change reaches a large fleet whose leader and heirs have lost the "
+          "store",
+          "[process]")
+{
+  constexpr std::size_t kLargeFleet = 18;
+  Bed bed(kLargeFleet);
+  const auto cut = bed.LeaderAndHeirs();
+  bed.Put(3);
+  bed.RunFor(Millis(600));
+  for (const auto gateway : cut) {
+    bed.CutFromStore(gateway);
+  }
+  bed.Put(4);
+  CHECK(bed.LateOnes(4, kInForceWithin, cut).empty());
+}
+
+// Each host of a small fleet waits for changes on a connection of its own.
+TEST_CASE("a change reaches hosts whose connections to the store went silent",
+          "[process]")
+{
+  /** Connections count as reset for this long after they went silent, as the
+      users' stability-ms says. */
+  constexpr Millis kExcused{ 3000 };
+  Bed bed(4);
+  const auto leader = bed.Leader();
+  for (std::size_t i = 0; i < 4; ++i) {
+    bed.SilenceOpenConnections(i);
+  }
+  bed.CutFromStore(leader);
+  bed.RunFor(kExcused);
+  bed.Put(3);
+  CHECK(bed.LateOnes(3, kInForceWithin, { leader }).empty());
+}
+
 TEST_CASE("a host without the store that missed a version gets the next one",
           "[process]")
 {
