Who reads the store goes by the age of proofs, not by a daemon's claim to be reading

The whole fleet was without the change for 3.06 s.

Cause: one witness, whose claim was believed for longer than it had evidence. In a large fleet the leader reads for all, with calls that wait 2 s and are given up 0.8 s later; until then its beats say that it reads and passes records on, and everybody else stays paused; heirs begin 0.6 s after that, all others 1.2 s. A small fleet has the same fault in another place: each host believes its own open call for 8.8 s.

Ruled out: hosts that missed what was passed on (no host was ahead of the others); requests handled by an older version than the one in force.

Change: beats tell where the store last said that each topic ends and how long ago. A daemon's copy is complete as of the newest such proof it has read up to (ReadDuty); when that is 0.95 s old the first heir reads, further heirs 0.1 s apart, all others after 1.35 s. Readers have the end proved every 0.5 s. A daemon that begins to read asks without a wait first; one whose copy is old makes its long call anew. Proofs are passed on by those alone who read. Before a leader is found, daemons read in the order of their ranks, which spares calls at the first start.

Why it works: a host reads by itself at the latest 1.35 s after the last moment for which somebody has shown that nothing was missing; it needs no one's failure to be noticed.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -79,15 +79,6 @@
   return settings;
 }
 
-/** How a topic is read until the fleet is known. */
-ReaderTimes
-FirstReads(bool aFirstStart)
-{
-  ReaderTimes times = kReads;
-  times.m_afterNewest = aFirstStart ? kFindLeader : kHearLeader;
-  return times;
-}
-
 } // namespace
 
 Gateway::Gateway(GatewaySettings aSettings, GatewayProtocol aProtocol)
@@ -140,17 +131,19 @@
               [this](const HttpExchangePtr& aExchange) {
                 aExchange->Answer({ kOk, "text/plain", Metrics() });
               })
-  , m_beatTimer(m_loop, [this] { SendBeat(); })
+  , m_beatTimer(m_loop, [this] { OnTick(); })
   , m_stopTimer(m_loop, [this] { OnStopTick(); })
   , m_directoryTimer(m_loop, [this] { OnEndpointsChanged(); })
   , m_catchUpTimer(m_loop, [this] { CatchUp(BootClock::now()); })
+  , m_readersTimer(m_loop, [this] { ChooseReaders(BootClock::now()); })
   , m_outages(m_settings.m_endpointHeartbeat * kHeartbeatsToLapse)
   , m_relayCredit(kRelayPart * m_settings.m_linkMbps * kMegabit / kByteBits,
                   kMostRelayCredit)
 {
   for (const auto& topic :
        { m_protocol.m_configTopic, m_protocol.m_endpointTopic }) {
-    m_spreads.emplace(topic, TopicSpread{ TopicCatchUp(topic), {}, {} });
+    m_spreads.emplace(topic,
+                      TopicSpread{ TopicCatchUp(topic), {}, {}, {}, {} });
   }
   m_ownership.m_onLeads = [this] { SendBeat(); };
   m_ownership.m_onStoreTrouble = [this](StoreAnswer aAnswer) {
@@ -168,26 +161,24 @@
 Gateway::MakeReader(const std::string& aTopic,
                     void (Gateway::*aOnRecord)(const KeyedRecord&))
 {
-  return { m_loop,
-           m_protocol.m_store,
-           ToSocketAddress(m_settings.m_store),
-           aTopic,
-           FirstReads(m_settings.m_firstStart),
-           TopicEvents{ [this, aOnRecord](const KeyedRecord& aRecord) {
-                         (this->*aOnRecord)(aRecord);
-                       },
-                        [this, aTopic](Offset aFrom,
-                                       Offset,
-                                       const std::vector<KeyedRecord>&) {
-                          RelayRecords(aTopic, aFrom);
-                        },
-                        [this, aTopic](Offset, TimePoint aProvenAt) {
-                          m_readAt[aTopic] = aProvenAt;
-                          OnStoreWorks(aTopic);
-                        },
-                        [this, aTopic](const ReadTrouble& aTrouble) {
-                          OnReadTrouble(aTopic, aTrouble);
-                        } } };
+  return {
+    m_loop,
+    m_protocol.m_store,
+    ToSocketAddress(m_settings.m_store),
+    aTopic,
+    kReads,
+    TopicEvents{
+      [this, aOnRecord](const KeyedRecord& aRecord) {
+        (this->*aOnRecord)(aRecord);
+      },
+      [this, aTopic](Offset aFrom, Offset, const std::vector<KeyedRecord>&) {
+        RelayRecords(aTopic, aFrom);
+      },
+      [this, aTopic](const EndProof& aProof) { OnOwnProof(aTopic, aProof); },
+      [this, aTopic](const ReadTrouble& aTrouble) {
+        OnReadTrouble(aTopic, aTrouble);
+      } }
+  };
 }
 
 absl::Status
@@ -248,9 +239,8 @@
 Gateway::OnHostFound()
 {
   if (m_daemons <= kSmallFleet && m_gossip.Peers().size() >= kSmallFleet &&
-      m_relayHeardAt == TimePoint{}) {
+      !m_ownership.Leader(BootClock::now())) {
     m_daemons = m_gossip.Peers().size() + 1;
-    m_relayHeardAt = BootClock::now();
   }
 }
 
@@ -343,7 +333,8 @@
 TimePoint
 Gateway::EndpointsReadAt(TimePoint aWanted)
 {
-  const TimePoint readAt = m_readAt[m_protocol.m_endpointTopic];
+  const TimePoint readAt =
+    m_spreads.at(m_protocol.m_endpointTopic).m_ownProof.m_askedAt;
   const TimePoint now = BootClock::now();
   if (readAt < aWanted && now >= m_probedAt + kProbeEvery) {
     m_probedAt = now;
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "sapphirehook/gossip/topic_catch_up.hpp"
 #include "sapphirehook/http1/server.hpp"
 #include "sapphirehook/store/outage_watch.hpp"
+#include "sapphirehook/store/read_duty.hpp"
 
 #include <absl/status/status.h>
 #include <deque>
@@ -48,12 +49,17 @@
   void OnStoreWorks(std::string_view aTopic);
   void OnMessage(const HostId& aFrom, const GossipMessage& aMessage);
   void TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
+  void OnTick();
+  [[nodiscard]] Beat MakeBeat(TimePoint aNow);
   void SendBeat();
+  void TakeProofs(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
+  void OnOwnProof(const std::string& aTopic, const EndProof& aProof);
   void CompareEnds(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void CatchUp(TimePoint aNow);
   TopicReader MakeReader(const std::string& aTopic,
                          void (Gateway::*aOnRecord)(const KeyedRecord&));
   [[nodiscard]] TopicReader& ReaderOf(const std::string& aTopic);
+  [[nodiscard]] const TopicReader& ReaderOf(const std::string& aTopic) const;
   /** Returns datagrams with what a peer misses that has read up to an offset.
    */
   [[nodiscard]] const std::vector<TopicRelay>& RelaysSince(
@@ -64,8 +70,13 @@
   void OnTopicRequest(const HostId& aFrom, const TopicRequest& aRequest);
   void OnRelay(const HostId& aFrom, const TopicRelay& aRelay);
   void ChooseReaders(TimePoint aNow);
-  void PauseReaders(TimePoint aNow, bool aPause);
-  [[nodiscard]] bool RelaysBatches(TimePoint aNow) const;
+  [[nodiscard]] ReaderTimes TimesOf(const std::string& aTopic,
+                                    bool aVouched) const;
+  void FollowOrPause(TimePoint aNow,
+                     const std::string& aTopic,
+                     const ReadStep& aStep);
+  [[nodiscard]] bool PassesOn(const std::string& aTopic) const;
+  [[nodiscard]] bool PassesOnAny() const;
   void OnStopTick();
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool IsLargeFleet() const noexcept;
@@ -90,6 +101,7 @@
   Timer m_stopTimer;
   Timer m_directoryTimer;
   Timer m_catchUpTimer;
+  Timer m_readersTimer;
   std::uint64_t m_configVersion = 0;
   VersionHistory m_versions;
   /** Who gave the records that are being taken in: the store or a peer. */
@@ -98,10 +110,9 @@
   std::map<std::string, TimePoint> m_writtenAt;
   std::size_t m_daemons = 1;
   unsigned m_beats = 0;
+  ReadPlace m_readPlace;
   bool m_storeWorks = false;
   TimePoint m_storeProvenAt{};
-  /** When each followed topic was last read to its end. */
-  std::map<std::string, TimePoint> m_readAt;
   TimePoint m_probedAt{};
   OutageWatch m_outages;
   bool m_endpointsQueued = false;
@@ -111,6 +122,9 @@
   struct TopicSpread
   {
     TopicCatchUp m_catchUp;
+    ReadDuty m_duty;
+    /** What the store last told this daemon. */
+    EndProof m_ownProof;
     /** What was last passed on or asked for, each in its parts. */
     std::deque<std::vector<TopicRelay>> m_relays;
     /** When the store was last asked for what peers have. */
@@ -119,10 +133,6 @@
   std::map<std::string, TopicSpread> m_spreads;
   /** Limits what is sent to peers that ask. */
   ByteCredit m_relayCredit;
-  /** When a daemon that passes records on was last heard of, and the leader as
-      one that does. */
-  TimePoint m_relayHeardAt{};
-  TimePoint m_leaderRelaysAt{};
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -11,9 +11,6 @@
 constexpr unsigned kFollowerBeats = 2;
 /** A new leader speaks to all hosts for this long. */
 constexpr Millis kNewLeader{ 3000 };
-/** While the leader does not reach the store, the others make a call this
-    often to see whether they do. */
-constexpr Millis kProbeAfter{ 1000 };
 
 } // namespace
 
@@ -27,14 +24,8 @@
       m_outages.OnServed(now - Millis(beat->m_storeProofAgeMs));
     } else {
       m_outages.OnRefused(now);
-      const bool asks = !IsLargeFleet() || m_ownership.IsHeir();
-      if (asks && beat->m_leads && now >= m_storeProvenAt + kProbeAfter &&
-          now >= m_probedAt + kProbeAfter) {
-        // The leader asks itself whether another should lead.
-        m_probedAt = now;
-        m_endpointReader.Probe();
-      }
     }
+    TakeProofs(now, aFrom, *beat);
     CompareEnds(now, aFrom, *beat);
   }
   if (const auto* relay = std::get_if<TopicRelay>(&aMessage)) {
@@ -56,9 +47,7 @@
 {
   if (aBeat.m_leads && aBeat.m_daemons > 0) {
     m_daemons = aBeat.m_daemons;
-    m_leaderRelaysAt = aBeat.m_relays ? aNow : m_leaderRelaysAt;
   }
-  m_relayHeardAt = aBeat.m_relays ? aNow : m_relayHeardAt;
   if (IsLargeFleet() && aBeat.m_leads) {
     m_engine.OnFleetUse(aNow, aBeat.m_totals);
   } else if (!IsLargeFleet() || m_ownership.Leads()) {
@@ -66,49 +55,70 @@
   }
 }
 
+/** Followers in a large fleet speak less often. */
 void
-Gateway::SendBeat()
+Gateway::OnTick()
 {
   const TimePoint now = BootClock::now();
   const bool skips = IsLargeFleet() && !m_ownership.Leads() && !m_stopping &&
-                     ++m_beats % kFollowerBeats != 0;
-  if (skips) {
-    m_log.Flush();
-    return;
+                     !PassesOnAny() && ++m_beats % kFollowerBeats != 0;
+  if (!skips) {
+    SendBeat();
+    m_ownership.ReportKeys();
+    if (!IsLargeFleet() || m_ownership.Leads()) {
+      m_daemons = m_gossip.AliveDaemons(now);
+    }
+    m_engine.SetDaemons(m_daemons);
   }
+  ChooseReaders(now);
+  CatchUp(now);
+  m_log.Flush();
+}
+
+Beat
+Gateway::MakeBeat(TimePoint aNow)
+{
   Beat beat;
   beat.m_stopping = m_stopping;
-  beat.m_uses = m_engine.TakeUses(now);
-  beat.m_ends[m_protocol.m_configTopic] = m_configReader.End();
-  beat.m_ends[m_protocol.m_endpointTopic] = m_endpointReader.End();
+  beat.m_uses = m_engine.TakeUses(aNow);
+  for (const auto& [topic, spread] : m_spreads) {
+    beat.m_ends[topic] = ReaderOf(topic).End();
+    const auto& proof = spread.m_ownProof;
+    if (proof.m_at != TimePoint{}) {
+      const auto age = std::chrono::ceil<Millis>(aNow - proof.m_at);
+      beat.m_toldEnds[topic] = { proof.m_end, age.count() };
+    }
+  }
   beat.m_storeWorks = m_storeWorks;
-  beat.m_relays = m_storeWorks && RelaysBatches(now);
+  beat.m_relays = m_storeWorks && PassesOnAny();
   beat.m_storeProofAgeMs =
-    std::chrono::duration_cast<Millis>(now - m_storeProvenAt).count();
+    std::chrono::duration_cast<Millis>(aNow - m_storeProvenAt).count();
   m_ownership.FillBeat(beat);
-  const auto leader = m_ownership.Leader(now);
   if (IsLargeFleet() && beat.m_leads) {
     beat.m_uses.clear();
-    beat.m_totals = m_engine.Totals(now);
+    beat.m_totals = m_engine.Totals(aNow);
   }
+  return beat;
+}
+
+void
+Gateway::SendBeat()
+{
+  const TimePoint now = BootClock::now();
+  Beat beat = MakeBeat(now);
+  const auto leader = m_ownership.Leader(now);
+  const bool newLeader =
+    beat.m_leads && now < m_ownership.LedSince() + kNewLeader;
   if (IsLargeFleet() && leader && !beat.m_leads && !beat.m_relays) {
     m_gossip.SendTo(leader->m_host, beat);
     beat.m_uses.clear();
     m_gossip.SendNext(beat);
-  } else if (beat.m_leads && now < m_ownership.LedSince() + kNewLeader) {
+  } else if (newLeader || (IsLargeFleet() && !beat.m_leads && beat.m_relays)) {
     // Followers of another leader have not been heard of.
     m_gossip.SendToEach(now, beat);
   } else {
     m_gossip.SendAll(now, beat);
   }
-  m_ownership.ReportKeys();
-  if (!IsLargeFleet() || beat.m_leads) {
-    m_daemons = m_gossip.AliveDaemons(now);
-  }
-  m_engine.SetDaemons(m_daemons);
-  ChooseReaders(now);
-  CatchUp(now);
-  m_log.Flush();
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -65,11 +65,11 @@
                "sapphirehook_follows_store",
                "gauge",
                m_configReader.IsPaused() ? 0 : 1);
-  constexpr std::string_view kReadAge = "sapphirehook_topic_read_age_seconds";
-  AppendMetricType(text, kReadAge, "gauge");
-  for (const auto& [topic, readAt] : m_readAt) {
-    const std::chrono::duration<double> age = now - readAt;
-    text += Concat(kReadAge, "{topic=\"", topic, "\"} ", age.count(), "\n");
+  constexpr std::string_view kAge = "sapphirehook_topic_age_seconds";
+  AppendMetricType(text, kAge, "gauge");
+  for (const auto& [topic, spread] : m_spreads) {
+    const std::chrono::duration<double> age = now - spread.m_duty.CompleteAt();
+    text += Concat(kAge, "{topic=\"", topic, "\"} ", age.count(), "\n");
   }
   AppendSamples(text, m_engine.Metrics());
   return text;
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -3,6 +3,7 @@
 #include "sapphirehook/gateway/internal/reader_times.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // How the followed topics reach every daemon: who reads them from the store,
 // what is passed on, and how a daemon that missed something gets it.
@@ -13,10 +14,10 @@
 
 namespace {
 
-/** How the leader reads the followed topics: it finds a silent connection
-   sooner than the others. */
-constexpr ReaderTimes kLeaderReads{ .m_wait = Millis(2000),
-                                    .m_gather = Millis(60) };
+/** How long calls wait for a record while no peer vouches for this daemon's
+    copy: a connection that has gone silent is noticed within the 3 s for which
+    the users count it as reset. */
+constexpr Millis kUnvouchedWait{ 1000 };
 /** A daemon that follows a topic by itself reads anew when it has been behind
     its peers for this long, and takes what they have: the connection of its
    read may have gone silent, or its link may be full. */
@@ -24,10 +25,6 @@
 /** One that is told of records asks the store too after this time, and this
     often. */
 constexpr Millis kPeersFirst{ 600 };
-/** Heirs read the topics themselves once the leader has not passed records on
-    for this long, and all daemons once nobody has. */
-constexpr Millis kLeaderMissing{ 600 };
-constexpr Millis kRelayMissing{ 1200 };
 /** A daemon that does not read by itself, and was not served when it last did,
     makes a call this often. */
 constexpr Millis kProbePausedEvery{ 2000 };
@@ -36,83 +33,155 @@
    on what they read. */
 constexpr Millis kFirstPauseInLargeFleet{ 800 };
 constexpr Millis kLongPauseInLargeFleet{ 6000 };
-/** Pause after records in a large fleet, where each change is a call for each
-    daemon. */
-constexpr Millis kGatherInLargeFleet{ 400 };
+/** Pause after entries of endpoints in a large fleet, whose changes go to all
+    daemons. Shorter than kProofEvery, or heirs would read meanwhile. */
+constexpr Millis kGatherInLargeFleet{ 250 };
 
 /** Batches that are kept in their parts of each topic, for peers that ask for
     some of them. */
 constexpr std::size_t kKeptRelays = 4;
-/** How often a daemon that is behind looks what to ask for. */
+/** How often a daemon that is behind looks what to ask for, and the shortest
+   time between two looks at who reads. */
 constexpr Millis kLookEvery{ 50 };
 
 } // namespace
 
+const TopicReader&
+Gateway::ReaderOf(const std::string& aTopic) const
+{
+  return aTopic == m_protocol.m_configTopic ? m_configReader : m_endpointReader;
+}
+
 TopicReader&
 Gateway::ReaderOf(const std::string& aTopic)
 {
-  return aTopic == m_protocol.m_configTopic ? m_configReader : m_endpointReader;
+  return const_cast<TopicReader&>(std::as_const(*this).ReaderOf(aTopic));
 }
 
-/** In a large fleet the leader alone waits for records and passes them on.
-   While it does not reach the store its heirs do so, and once none is heard of
-   that does, each daemon follows the store itself. */
+/** In a large fleet the leader reads and passes records on. When the last proof
+   of a topic's end grows old, its heirs do, and then every daemon reads by
+   itself.
+ */
 void
 Gateway::ChooseReaders(TimePoint aNow)
 {
-  ReaderTimes times = m_ownership.Leads() ? kLeaderReads : kReads;
-  times.m_afterNewest = m_settings.m_firstStart ? kFindLeader : kHearLeader;
-  if (IsLargeFleet()) {
-    times.m_gather = kGatherInLargeFleet;
-    if (!m_ownership.Leads() && !m_ownership.IsHeir()) {
-      times.m_firstPause = kFirstPauseInLargeFleet;
-      times.m_longestPause = kLongPauseInLargeFleet;
-    }
+  m_readPlace = { m_ownership.Leads(),
+                  m_ownership.ReadingPlace(aNow),
+                  !IsLargeFleet() };
+  TimePoint next = TimePoint::max();
+  for (auto& [topic, spread] : m_spreads) {
+    const auto step = spread.m_duty.Next(aNow, m_readPlace);
+    FollowOrPause(aNow, topic, step);
+    next = std::min(next, step.m_until);
   }
-  const bool heirReads =
-    m_ownership.IsHeir() && aNow >= m_leaderRelaysAt + kLeaderMissing;
-  const bool relayed = IsLargeFleet() && !m_ownership.Leads() && !heirReads &&
-                       aNow < m_relayHeardAt + kRelayMissing;
-  for (auto* reader : { &m_configReader, &m_endpointReader }) {
-    reader->SetTimes(times);
+  if (next != TimePoint::max()) {
+    m_readersTimer.Start(
+      std::max<std::chrono::nanoseconds>(next - aNow, kLookEvery));
   }
-  PauseReaders(aNow, relayed);
   // Whoever may lead has to know whether it reaches the store.
-  if (relayed && !m_storeWorks && aNow >= m_probedAt + kProbePausedEvery) {
+  if (m_endpointReader.IsPaused() && !m_storeWorks &&
+      aNow >= m_probedAt + kProbePausedEvery) {
     m_probedAt = aNow;
     static_cast<void>(m_endpointReader.Refresh());
   }
 }
 
-void
-Gateway::PauseReaders(TimePoint aNow, bool aPause)
+ReaderTimes
+Gateway::TimesOf(const std::string& aTopic, bool aVouched) const
 {
-  const bool before = m_configReader.IsPaused();
-  for (auto* reader : { &m_configReader, &m_endpointReader }) {
-    if (aPause) {
-      reader->Pause();
-    } else {
-      reader->Resume();
+  ReaderTimes times = kReads;
+  const bool heir = m_readPlace.m_heir.has_value();
+  if (m_readPlace.m_leads || (heir && IsLargeFleet())) {
+    times.m_wait = kProofEvery;
+  } else if (!aVouched) {
+    times.m_wait = kUnvouchedWait;
+  }
+  if (IsLargeFleet()) {
+    if (aTopic == m_protocol.m_endpointTopic) {
+      times.m_gather = kGatherInLargeFleet;
+    }
+    if (!m_readPlace.m_leads && !heir) {
+      times.m_firstPause = kFirstPauseInLargeFleet;
+      times.m_longestPause = kLongPauseInLargeFleet;
     }
   }
-  if (m_configReader.IsPaused() != before) {
-    m_log.Write(LogLine(before ? "follows-store" : "follows-peers")
-                  .Add("leads", m_ownership.Leads() ? 1 : 0)
-                  .Add("heir", m_ownership.IsHeir() ? 1 : 0)
-                  .Add("leader_relays_age_ms", aNow - m_leaderRelaysAt)
-                  .Add("relays_age_ms", aNow - m_relayHeardAt)
-                  .Add("read_age_ms", aNow - m_readAt[m_protocol.m_configTopic])
+  return times;
+}
+
+void
+Gateway::FollowOrPause(TimePoint aNow,
+                       const std::string& aTopic,
+                       const ReadStep& aStep)
+{
+  auto& reader = ReaderOf(aTopic);
+  const bool wasPaused = reader.IsPaused();
+  reader.SetTimes(TimesOf(aTopic, aStep.m_vouched));
+  if (aStep.m_follows) {
+    reader.Resume();
+  } else {
+    reader.Pause();
+  }
+  if (aStep.m_renews) {
+    reader.RenewWait();
+  }
+  if (reader.IsPaused() != wasPaused) {
+    const auto& duty = m_spreads.at(aTopic).m_duty;
+    const auto heir = m_readPlace.m_heir;
+    m_log.Write(LogLine(wasPaused ? "follows-store" : "follows-peers")
+                  .Add("topic", aTopic)
+                  .Add("heir", heir ? static_cast<int>(*heir) : -1)
+                  .Add("complete_ms_ago", aNow - duty.CompleteAt())
+                  .Add("have", reader.End())
                   .Add("version", m_configVersion),
                 LogRank::State);
   }
 }
 
+/** Whether this daemon passes on what it reads of a topic. */
 bool
-Gateway::RelaysBatches(TimePoint aNow) const
+Gateway::PassesOn(const std::string& aTopic) const
 {
   return IsLargeFleet() &&
          (m_ownership.Leads() ||
-          (m_ownership.IsHeir() && aNow >= m_leaderRelaysAt + kLeaderMissing));
+          (m_readPlace.m_heir && !ReaderOf(aTopic).IsPaused()));
+}
+
+bool
+Gateway::PassesOnAny() const
+{
+  return PassesOn(m_protocol.m_configTopic) ||
+         PassesOn(m_protocol.m_endpointTopic);
+}
+
+/** Takes in what the store has told a peer. */
+void
+Gateway::TakeProofs(TimePoint aNow, const HostId& aFrom, const Beat& aBeat)
+{
+  const auto own = m_readPlace.m_heir;
+  const auto its = m_ownership.HeirPlace(aFrom.m_host);
+  const bool before = aBeat.m_leads || (its && (!own || *its < *own));
+  for (auto& [topic, spread] : m_spreads) {
+    const auto told = aBeat.m_toldEnds.find(topic);
+    if (told != aBeat.m_toldEnds.end()) {
+      spread.m_duty.OnPeerProof(
+        { told->second.m_end, aNow - Millis(told->second.m_ageMs), {} },
+        before,
+        ReaderOf(topic).End());
+    }
+  }
+}
+
+void
+Gateway::OnOwnProof(const std::string& aTopic, const EndProof& aProof)
+{
+  auto& spread = m_spreads.at(aTopic);
+  const EndProof before = std::exchange(spread.m_ownProof, aProof);
+  spread.m_duty.OnOwnProof(aProof);
+  OnStoreWorks(aTopic);
+  // Those that would read next should hear of it before they do.
+  if (PassesOn(aTopic) && aProof.m_at >= before.m_at + 2 * kProofEvery) {
+    m_loop.Defer([this] { SendBeat(); });
+  }
 }
 
 const std::vector<TopicRelay>&
@@ -144,7 +213,7 @@
 Gateway::RelayRecords(const std::string& aTopic, Offset aFrom)
 {
   const TimePoint now = BootClock::now();
-  if (!RelaysBatches(now)) {
+  if (!PassesOn(aTopic)) {
     return;
   }
   const auto& relays = RelaysSince(aTopic, aFrom);
@@ -226,6 +295,7 @@
   const auto outcome =
     reader.Accept(batch->m_from, batch->m_next, batch->m_records);
   m_recordsFrom = "store";
+  spread->second.m_duty.OnRead(reader.End());
   if (outcome != RelayOutcome::Taken && outcome != RelayOutcome::Known) {
     WriteSparsely(batch->m_topic,
                   LogLine("relay-refused")
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -232,11 +232,12 @@
     m_settings.m_store,
     kTopic,
     kLeaderReads,
-    TopicEvents{
-      [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
-      nullptr,
-      [this](Offset, TimePoint aProvenAt) { m_leadership.OnProof(aProvenAt); },
-      [](const ReadTrouble&) {} });
+    TopicEvents{ [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
+                 nullptr,
+                 [this](const EndProof& aProof) {
+                   m_leadership.OnProof(aProof.m_askedAt);
+                 },
+                 [](const ReadTrouble&) {} });
   m_reader->Start();
   m_timer.StartEvery(kLeaderTick);
   m_planTimer.StartEvery(kPlanEvery);
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -97,8 +97,19 @@
     return m_leadership.Leader(aNow);
   }
 
-  /** Whether the leader has named this daemon to claim after it. */
-  [[nodiscard]] bool IsHeir() const noexcept { return m_leadership.IsHeir(); }
+  /** Place of a daemon among those that the leader has named to claim after it;
+      the first is 0. */
+  [[nodiscard]] std::optional<std::size_t> HeirPlace(
+    const std::string& aHost) const
+  {
+    return m_leadership.HeirPlace(aHost);
+  }
+
+  /** Place of this daemon among those that read when the leader does not. */
+  [[nodiscard]] std::optional<std::size_t> ReadingPlace(TimePoint aNow) const
+  {
+    return m_leadership.ReadingPlace(aNow);
+  }
 
   /** Whether this daemon knows where the keys of all keyed services are. */
   [[nodiscard]] bool KnowsMaps() const;
--- a/src/sapphirehook/gossip/fwd.hpp
+++ b/src/sapphirehook/gossip/fwd.hpp
@@ -6,6 +6,7 @@
 namespace sapphirehook {
 
 struct Beat;
+struct ToldEnd;
 struct KeyReport;
 struct RouteUpdate;
 struct RouteRequest;
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -13,6 +13,16 @@
 
 namespace sapphirehook {
 
+/** What the store last told the sender of the end of a topic. */
+struct ToldEnd
+{
+  Offset m_end = 0;
+  /** Time since then, in milliseconds. */
+  std::int64_t m_ageMs = 0;
+
+  MSGPACK_DEFINE_ARRAY(m_end, m_ageMs)
+};
+
 /** Sent several times a second: in a small fleet by each daemon to all others,
     in a large one by each to the leader, and by the leader to all. */
 struct Beat
@@ -22,7 +32,8 @@
   bool m_leads = false;
   /** The sender reaches the store. */
   bool m_storeWorks = false;
-  /** It reads the topics that all follow, and passes records on. */
+  /** It reads the topics that all follow, and passes records on. Daemons of
+      earlier versions go by it. */
   bool m_relays = false;
   /** Time since the store last answered it, in milliseconds. */
   std::int64_t m_storeProofAgeMs = 0;
@@ -43,6 +54,8 @@
   std::uint32_t m_daemons = 0;
   std::vector<std::string> m_heirs;
   std::vector<FleetUse> m_totals;
+  /** Of each followed topic. */
+  std::map<std::string, ToldEnd> m_toldEnds;
 
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
@@ -58,7 +71,8 @@
                        m_maps,
                        m_daemons,
                        m_heirs,
-                       m_totals)
+                       m_totals,
+                       m_toldEnds)
 };
 
 /** Requests by key, sent to the leader. */
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -226,18 +226,36 @@
   return heirs;
 }
 
+std::optional<std::size_t>
+Leadership::HeirPlace(const std::string& aHost) const
+{
+  const auto at = std::find(m_heirs.begin(), m_heirs.end(), aHost);
+  return at == m_heirs.end()
+           ? std::nullopt
+           : std::optional(static_cast<std::size_t>(at - m_heirs.begin()));
+}
+
+std::optional<std::size_t>
+Leadership::ReadingPlace(TimePoint aNow) const
+{
+  // A new leader has not heard the others yet, and names none.
+  if (!m_heirs.empty() || Leader(aNow)) {
+    return HeirPlace(m_self.m_host);
+  }
+  const auto rank = static_cast<std::size_t>(Rank(aNow));
+  return rank < kHeirs ? std::optional(rank) : std::nullopt;
+}
+
 /** Place of this daemon among those that may claim: as the last leader named
     them, or else by processor and name among those heard of. */
 int
 Leadership::Rank(TimePoint aNow) const
 {
   if (!m_heirs.empty()) {
-    const auto at = std::find(m_heirs.begin(), m_heirs.end(), m_self.m_host);
-    const auto place = static_cast<int>(at - m_heirs.begin());
-    const bool named = at != m_heirs.end();
-    return named ? place
-                 : place + static_cast<int>(StableHash(m_self.m_host) %
-                                            kUnnamedSpread);
+    const auto place = HeirPlace(m_self.m_host);
+    return static_cast<int>(place ? *place
+                                  : m_heirs.size() + StableHash(m_self.m_host) %
+                                                       kUnnamedSpread);
   }
   int rank = 0;
   const std::pair own(-m_processorShare, m_self.m_host);
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -95,12 +95,15 @@
     m_heirs = std::move(aHeirs);
   }
 
-  /** Whether the leader has named this daemon to claim after it. */
-  [[nodiscard]] bool IsHeir() const noexcept
-  {
-    return std::find(m_heirs.begin(), m_heirs.end(), m_self.m_host) !=
-           m_heirs.end();
-  }
+  /** Place of a daemon among those that the leader has named to claim after it;
+      the first is 0. */
+  [[nodiscard]] std::optional<std::size_t> HeirPlace(
+    const std::string& aHost) const;
+
+  /** Place of this daemon among those that should read for a fleet when the
+      leader does not: its place as an heir, or while no leader has named any,
+     by processor and name. */
+  [[nodiscard]] std::optional<std::size_t> ReadingPlace(TimePoint aNow) const;
 
   /** A leader has stepped down; its grants end by a time. */
   void OnResigned(TimePoint aNow,
--- a/src/sapphirehook/store/fwd.hpp
+++ b/src/sapphirehook/store/fwd.hpp
@@ -7,6 +7,8 @@
 struct KeyedRecord;
 struct KeyedPage;
 struct AppendOutcome;
+struct EndProof;
+class ReadDuty;
 class TopicReader;
 class TopicImage;
 class OutageWatch;
--- a/src/sapphirehook/store/keyed_record.hpp
+++ b/src/sapphirehook/store/keyed_record.hpp
@@ -2,6 +2,7 @@
 #define SAPPHIREHOOK_STORE_KEYED_RECORD_HPP
 
 #include "sapphirehook/core/ids.hpp"
+#include "sapphirehook/core/time.hpp"
 
 #include <optional>
 #include <string>
@@ -67,6 +68,17 @@
   bool m_hasMore = false;
 };
 
+/** The store's word on the end of a topic: a copy up to an offset lacked
+   nothing at a moment. */
+struct EndProof
+{
+  Offset m_end = 0;
+  /** No record had come by then: the end of a wait that brought none. */
+  TimePoint m_at{};
+  /** When the call was made that brought the word. */
+  TimePoint m_askedAt{};
+};
+
 /** Outcome of an append. */
 struct AppendOutcome
 {
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -105,6 +105,16 @@
   }
 }
 
+void
+TopicReader::RenewWait()
+{
+  const bool mayBeSilent = m_client.IsBusy() && !m_client.HasAnswerBegun() &&
+                           BootClock::now() >= m_calledAt + kFirstBytesWithin;
+  if (mayBeSilent && m_calledWait > Millis(0)) {
+    Probe();
+  }
+}
+
 void
 TopicReader::Stop()
 {
@@ -126,6 +136,7 @@
 {
   if (m_paused) {
     m_paused = false;
+    m_probing = true;
     m_timer.Start(Millis(0));
   }
 }
@@ -229,17 +240,37 @@
   const bool first = !std::exchange(m_caughtUp, true);
   m_backoff.Reset();
   m_unserved = false;
-  m_events.m_onCaughtUp(m_from, m_newestAskedAt);
+  Prove(m_newestAskedAt, m_newestAskedAt);
   Next(first ? std::max(m_times.m_afterNewest, m_times.m_gather)
              : m_times.m_gather);
 }
 
+void
+TopicReader::Prove(TimePoint aAt, TimePoint aAskedAt)
+{
+  m_provenAt = std::max(m_provenAt, aAt);
+  m_events.m_onCaughtUp({ m_from, aAt, aAskedAt });
+}
+
+/** After records the next call waits the less, so that the time between two
+    proofs stays the same. */
+Millis
+TopicReader::WaitOfNextCall()
+{
+  if (m_paused || std::exchange(m_probing, false)) {
+    return Millis(0);
+  }
+  const auto sinceProof =
+    std::chrono::duration_cast<Millis>(m_calledAt - m_provenAt);
+  return std::clamp(m_times.m_wait - sinceProof, Millis(0), m_times.m_wait);
+}
+
 void
 TopicReader::ReadOn()
 {
   m_calledAt = BootClock::now();
-  const bool atOnce = m_paused || std::exchange(m_probing, false);
-  const Millis wait = atOnce ? Millis(0) : m_times.m_wait;
+  m_calledWait = WaitOfNextCall();
+  const Millis wait = m_calledWait;
   const Millis slack = m_paused ? kCallTimeout : kAnswerSlack;
   m_client.Call(
     m_protocol.m_read(m_topic, m_from, wait),
@@ -276,7 +307,11 @@
     }
   }
   if (m_from >= aPage.m_end) {
-    m_events.m_onCaughtUp(m_from, m_calledAt);
+    // An empty answer that came when the wait was over: there was no record
+    // until then.
+    const bool waited =
+      aPage.m_records.empty() && BootClock::now() >= m_calledAt + m_calledWait;
+    Prove(waited ? m_calledAt + m_calledWait : m_calledAt, m_calledAt);
   }
   if (m_paused && m_from >= aPage.m_end) {
     return;
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -66,9 +66,8 @@
   std::function<
     void(Offset aFrom, Offset aNext, const std::vector<KeyedRecord>& aRecords)>
     m_onBatch;
-  /** All records up to an offset have been given. aProvenAt is the moment at
-      which the topic certainly ended there. */
-  std::function<void(Offset aEnd, TimePoint aProvenAt)> m_onCaughtUp;
+  /** All records up to the end of the topic have been given. */
+  std::function<void(const EndProof& aProof)> m_onCaughtUp;
   /** The store did not serve a call; it is tried again. */
   std::function<void(const ReadTrouble&)> m_onTrouble;
 };
@@ -76,7 +75,8 @@
 /** How a reader spaces its calls. */
 struct ReaderTimes
 {
-  /** How long one call waits for a record. */
+  /** How long calls wait for a record: the end of the topic is proved anew that
+      often. */
   Millis m_wait{};
   /** Pause after records have come, which gathers those that follow. */
   Millis m_gather{};
@@ -112,13 +112,18 @@
       whether the store answers. */
   void Probe();
 
+  /** Does so if a call that waits for a record has been under way for so long
+      that its connection may have gone silent. */
+  void RenewWait();
+
   void Stop();
 
   /** Makes no more calls by itself, while others pass records on. Refresh
       makes a single one. */
   void Pause();
 
-  /** Follows the topic by itself again. */
+  /** Follows the topic by itself again, at first by a call that does not wait.
+   */
   void Resume();
 
   /** Takes the newest records between two offsets, which another daemon has
@@ -166,8 +171,10 @@
   void RemoveUnlisted(const std::vector<KeyedRecord>& aListed, Offset aOffset);
   void Give(const KeyedRecord& aRecord);
   void FinishNewest();
+  void Prove(TimePoint aAt, TimePoint aAskedAt);
   void OnFault(StoreAnswer aAnswer, const CallResult& aResult);
   void Next(Millis aAfter);
+  [[nodiscard]] Millis WaitOfNextCall();
 
   const StoreProtocol& m_protocol;
   std::string m_topic;
@@ -187,6 +194,10 @@
   std::string m_after;
   TimePoint m_newestAskedAt{};
   TimePoint m_calledAt{};
+  /** How long the call under way, or the last one, waits for a record. */
+  Millis m_calledWait{};
+  /** The end of the topic was last proved for this moment. */
+  TimePoint m_provenAt{};
   TopicImage m_image;
   std::vector<KeyedRecord> m_listed;
 };
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -30,6 +30,8 @@
   /** Returns the first bytes of a body of a size, of which no more come. */
   std::function<std::optional<std::string>(const std::string&)> m_partial;
   std::size_t m_wholeSize = 0;
+  /** Answers take this long. */
+  Millis m_answersAfter{};
   /** A body that comes in pieces, with a pause between. */
   struct Pieces
   {
@@ -56,7 +58,9 @@
       aExchange->AnswerRaw("HTTP/1.1 200 OK\r\nContent-Length: " +
                            std::to_string(m_wholeSize) + "\r\n\r\n" + *partial);
     } else if (const auto body = m_answer(target)) {
-      aExchange->Answer({ 200, "text/plain", *body });
+      m_delayed.After(m_answersAfter, [aExchange, body] {
+        aExchange->Answer({ 200, "text/plain", *body });
+      });
       return;
     }
     m_unanswered.push_back(aExchange);
@@ -116,7 +120,7 @@
                         const std::vector<KeyedRecord>& aRecords) {
                    m_batches.push_back({ "keyed.t", aFrom, aNext, aRecords });
                  },
-                 [](Offset, TimePoint) {},
+                 [this](const EndProof& aProof) { m_proofs.push_back(aProof); },
                  [this](const ReadTrouble&) { ++m_troubles; } })
   {
     m_store.m_answer =
@@ -144,6 +148,7 @@
   std::vector<std::string> m_given;
   std::vector<Batch> m_batches;
   unsigned m_troubles = 0;
+  std::vector<EndProof> m_proofs;
   /** What the next read that waits is answered. */
   std::optional<std::string> m_page;
   TopicReader m_reader;
@@ -215,6 +220,104 @@
   CHECK(bed.m_given.back() == "b=1");
 }
 
+TEST_CASE("an empty answer proves the end of a topic up to the end of its wait",
+          "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  bed.m_store.m_answer = [](const std::string&) {
+    return std::optional(Page(5, {}));
+  };
+  bed.m_reader.SetTimes({ .m_wait = Millis(100), .m_gather = Millis(5) });
+  const auto proofsBeyondTheCall = [&] {
+    bed.m_reader.Probe();
+    bed.RunFor(Millis(50)); // the call that does not wait is over
+    bed.m_proofs.clear();
+    bed.RunFor(Millis(400));
+    REQUIRE_FALSE(bed.m_proofs.empty());
+    return std::count_if(
+      bed.m_proofs.begin(), bed.m_proofs.end(), [](const EndProof& aProof) {
+        CHECK(aProof.m_end == 5);
+        CHECK(aProof.m_at <= aProof.m_askedAt + Millis(100));
+        return aProof.m_at > aProof.m_askedAt;
+      });
+  };
+  SECTION("when it came once the wait was over")
+  {
+    bed.m_store.m_answersAfter = Millis(60);
+    CHECK(proofsBeyondTheCall() > 0);
+  }
+  SECTION("and no more than the moment of the call, when it came before")
+  {
+    CHECK(proofsBeyondTheCall() == 0);
+  }
+}
+
+TEST_CASE("a reader proves the end of its topic as often as it is told to",
+          "[store]")
+{
+  Bed bed;
+  bed.m_reader.SetTimes({ .m_wait = Millis(200), .m_gather = Millis(100) });
+  bed.m_reader.Start();
+  bed.RunFor(Millis(50));
+  const auto waitOf = [](const std::string& aTarget) {
+    constexpr std::string_view kName = "wait-ms=";
+    const auto at = aTarget.find(kName);
+    return at == std::string::npos
+             ? 0
+             : std::stoi(aTarget.substr(at + kName.size()));
+  };
+  // A record comes when its call has waited for long: the next call waits the
+  // less.
+  bed.RunFor(Millis(150));
+  REQUIRE_FALSE(bed.m_store.m_asked.empty());
+  CHECK(waitOf(bed.m_store.m_asked.back()) > 0);
+  bed.m_store.m_answer = [](const std::string&) {
+    return std::optional(Page(6, { { "b", "1" } }));
+  };
+  bed.m_reader.Probe();
+  bed.RunFor(Millis(20));
+  bed.m_store.m_answer = [](const std::string&) {
+    return std::optional<std::string>{};
+  };
+  bed.RunFor(Millis(200));
+  CHECK(waitOf(bed.m_store.m_asked.back()) <= 100);
+}
+
+TEST_CASE("a call that waits for long is made anew without a wait", "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(200));
+  const auto asked = bed.m_store.m_asked.size();
+  bed.m_reader.RenewWait(); // it has only begun
+  bed.RunFor(Millis(50));
+  CHECK(bed.m_store.m_asked.size() == asked);
+  bed.RunFor(Millis(600));
+  bed.m_reader.RenewWait();
+  bed.RunFor(Millis(50));
+  CHECK(bed.m_store.m_asked.size() == asked + 1);
+  CHECK(bed.m_troubles == 0);
+}
+
+TEST_CASE("a reader that follows the store again asks at once", "[store]")
+{
+  Bed bed;
+  bed.m_reader.Start();
+  bed.RunFor(Millis(100));
+  bed.m_reader.Pause();
+  bed.m_store.m_asked.clear();
+  bed.m_store.m_answer = [](const std::string&) {
+    return std::optional(Page(5, {}));
+  };
+  const auto proofs = bed.m_proofs.size();
+  bed.m_reader.Resume();
+  bed.RunFor(Millis(30));
+  REQUIRE_FALSE(bed.m_store.m_asked.empty());
+  CHECK(bed.m_proofs.size() > proofs);
+}
+
 TEST_CASE("a large answer that comes slowly is waited for", "[store]")
 {
   Bed bed;
