A new leader goes by the count of daemons and the heirs known before until it hears all

A daemon that has just claimed has heard few others as a follower of a large fleet, and told all of them that count at once, so that 61 daemons took themselves for a small fleet of 3 to 6, each with a twelfth of the right number to share the budget for repeats with; and it named no heirs.

Change: FleetSize keeps the larger count for the first second of a lead; ChooseHeirs keeps those named before for as long. While a leader is heard of that names nobody, nobody is an heir.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -1,7 +1,6 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
 #include "sapphirehook/core/text.hpp"
-#include "sapphirehook/gateway/internal/fleet_size.hpp"
 #include "sapphirehook/gateway/internal/reader_times.hpp"
 
 #include <algorithm>
@@ -220,12 +219,6 @@
   m_log.Flush();
 }
 
-bool
-Gateway::IsLargeFleet() const noexcept
-{
-  return m_daemons > kSmallFleet;
-}
-
 bool
 Gateway::IsReady() const
 {
@@ -238,9 +231,8 @@
 void
 Gateway::OnHostFound()
 {
-  if (m_daemons <= kSmallFleet && m_gossip.Peers().size() >= kSmallFleet &&
-      !m_ownership.Leader(BootClock::now())) {
-    m_daemons = m_gossip.Peers().size() + 1;
+  if (!m_ownership.Leader(BootClock::now())) {
+    m_fleet.OnRegistered(m_gossip.Peers().size() + 1);
   }
 }
 
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "sapphirehook/gateway/ownership.hpp"
 #include "sapphirehook/gateway/settings.hpp"
 #include "sapphirehook/gateway/version_history.hpp"
+#include "sapphirehook/gossip/fleet_size.hpp"
 #include "sapphirehook/gossip/topic_catch_up.hpp"
 #include "sapphirehook/http1/server.hpp"
 #include "sapphirehook/store/outage_watch.hpp"
@@ -50,6 +51,7 @@
   void OnMessage(const HostId& aFrom, const GossipMessage& aMessage);
   void TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void OnTick();
+  void CountDaemons(TimePoint aNow);
   [[nodiscard]] Beat MakeBeat(TimePoint aNow);
   void SendBeat();
   void TakeProofs(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
@@ -79,7 +81,6 @@
   [[nodiscard]] bool PassesOnAny() const;
   void OnStopTick();
   [[nodiscard]] bool IsReady() const;
-  [[nodiscard]] bool IsLargeFleet() const noexcept;
   [[nodiscard]] TimePoint EndpointsReadAt(TimePoint aWanted);
   [[nodiscard]] std::string Metrics() const;
 
@@ -108,7 +109,7 @@
   std::string m_recordsFrom = "store";
   /** When lines that may repeat were last written. */
   std::map<std::string, TimePoint> m_writtenAt;
-  std::size_t m_daemons = 1;
+  FleetSize m_fleet;
   unsigned m_beats = 0;
   ReadPlace m_readPlace;
   bool m_storeWorks = false;
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -46,11 +46,11 @@
 Gateway::TakeUse(TimePoint aNow, const HostId& aFrom, const Beat& aBeat)
 {
   if (aBeat.m_leads && aBeat.m_daemons > 0) {
-    m_daemons = aBeat.m_daemons;
+    m_fleet.OnTold(aBeat.m_daemons);
   }
-  if (IsLargeFleet() && aBeat.m_leads) {
+  if (m_fleet.IsLarge() && aBeat.m_leads) {
     m_engine.OnFleetUse(aNow, aBeat.m_totals);
-  } else if (!IsLargeFleet() || m_ownership.Leads()) {
+  } else if (!m_fleet.IsLarge() || m_ownership.Leads()) {
     m_engine.OnPeerUse(aNow, aFrom.m_host, aBeat.m_uses);
   }
 }
@@ -60,21 +60,28 @@
 Gateway::OnTick()
 {
   const TimePoint now = BootClock::now();
-  const bool skips = IsLargeFleet() && !m_ownership.Leads() && !m_stopping &&
+  const bool skips = m_fleet.IsLarge() && !m_ownership.Leads() && !m_stopping &&
                      !PassesOnAny() && ++m_beats % kFollowerBeats != 0;
   if (!skips) {
     SendBeat();
     m_ownership.ReportKeys();
-    if (!IsLargeFleet() || m_ownership.Leads()) {
-      m_daemons = m_gossip.AliveDaemons(now);
-    }
-    m_engine.SetDaemons(m_daemons);
+    CountDaemons(now);
   }
   ChooseReaders(now);
   CatchUp(now);
   m_log.Flush();
 }
 
+void
+Gateway::CountDaemons(TimePoint aNow)
+{
+  const bool leads = m_ownership.Leads();
+  m_fleet.OnHeard(aNow,
+                  m_gossip.AliveDaemons(aNow),
+                  leads ? std::optional(m_ownership.LedSince()) : std::nullopt);
+  m_engine.SetDaemons(m_fleet.Daemons());
+}
+
 Beat
 Gateway::MakeBeat(TimePoint aNow)
 {
@@ -94,7 +101,11 @@
   beat.m_storeProofAgeMs =
     std::chrono::duration_cast<Millis>(aNow - m_storeProvenAt).count();
   m_ownership.FillBeat(beat);
-  if (IsLargeFleet() && beat.m_leads) {
+  if (beat.m_leads) {
+    CountDaemons(aNow);
+    beat.m_daemons = static_cast<std::uint32_t>(m_fleet.Daemons());
+  }
+  if (m_fleet.IsLarge() && beat.m_leads) {
     beat.m_uses.clear();
     beat.m_totals = m_engine.Totals(aNow);
   }
@@ -109,11 +120,12 @@
   const auto leader = m_ownership.Leader(now);
   const bool newLeader =
     beat.m_leads && now < m_ownership.LedSince() + kNewLeader;
-  if (IsLargeFleet() && leader && !beat.m_leads && !beat.m_relays) {
+  if (m_fleet.IsLarge() && leader && !beat.m_leads && !beat.m_relays) {
     m_gossip.SendTo(leader->m_host, beat);
     beat.m_uses.clear();
     m_gossip.SendNext(beat);
-  } else if (newLeader || (IsLargeFleet() && !beat.m_leads && beat.m_relays)) {
+  } else if (newLeader ||
+             (m_fleet.IsLarge() && !beat.m_leads && beat.m_relays)) {
     // Followers of another leader have not been heard of.
     m_gossip.SendToEach(now, beat);
   } else {
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -67,7 +67,7 @@
 {
   m_readPlace = { m_ownership.Leads(),
                   m_ownership.ReadingPlace(aNow),
-                  !IsLargeFleet() };
+                  !m_fleet.IsLarge() };
   TimePoint next = TimePoint::max();
   for (auto& [topic, spread] : m_spreads) {
     const auto step = spread.m_duty.Next(aNow, m_readPlace);
@@ -91,12 +91,12 @@
 {
   ReaderTimes times = kReads;
   const bool heir = m_readPlace.m_heir.has_value();
-  if (m_readPlace.m_leads || (heir && IsLargeFleet())) {
+  if (m_readPlace.m_leads || (heir && m_fleet.IsLarge())) {
     times.m_wait = kProofEvery;
   } else if (!aVouched) {
     times.m_wait = kUnvouchedWait;
   }
-  if (IsLargeFleet()) {
+  if (m_fleet.IsLarge()) {
     if (aTopic == m_protocol.m_endpointTopic) {
       times.m_gather = kGatherInLargeFleet;
     }
@@ -141,7 +141,7 @@
 bool
 Gateway::PassesOn(const std::string& aTopic) const
 {
-  return IsLargeFleet() &&
+  return m_fleet.IsLarge() &&
          (m_ownership.Leads() ||
           (m_readPlace.m_heir && !ReaderOf(aTopic).IsPaused()));
 }
--- a/src/sapphirehook/gateway/map_exchange.cpp
+++ b/src/sapphirehook/gateway/map_exchange.cpp
@@ -1,6 +1,6 @@
 #include "sapphirehook/gateway/map_exchange.hpp"
 
-#include "sapphirehook/gateway/internal/fleet_size.hpp"
+#include "sapphirehook/gossip/fleet_size.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -331,9 +331,7 @@
     aBeat.m_maps[name] = m_maps.Digests(name);
   }
   if (aBeat.m_leads) {
-    const TimePoint now = BootClock::now();
-    aBeat.m_daemons = static_cast<std::uint32_t>(m_gossip.AliveDaemons(now));
-    aBeat.m_heirs = m_leadership.ChooseHeirs(now);
+    aBeat.m_heirs = m_leadership.ChooseHeirs(BootClock::now());
   }
 }
 
--- a/src/sapphirehook/gossip/fwd.hpp
+++ b/src/sapphirehook/gossip/fwd.hpp
@@ -18,6 +18,7 @@
 struct CatchUpStep;
 class BatchAssembler;
 class TopicCatchUp;
+class FleetSize;
 class Gossip;
 
 } // namespace sapphirehook
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/** A new leader has heard of all candidates after this time. */
+constexpr Millis kHearCandidates{ 1000 };
 /** A candidate counts while it has been heard of within this time. */
 constexpr Millis kCandidateFor{ 1000 };
 /** Daemons that the leader has not named claim in this many turns. */
@@ -223,6 +225,16 @@
   for (std::size_t i = 0; i < std::min(able.size(), kHeirs); ++i) {
     heirs.push_back(able[i].second);
   }
+  // A new leader has not heard all of them, and keeps those named before.
+  for (const auto& host : m_heirs) {
+    const bool isNew =
+      m_leads && aNow < m_ledSince + kHearCandidates && host != m_self.m_host &&
+      heirs.size() < kHeirs &&
+      std::find(heirs.begin(), heirs.end(), host) == heirs.end();
+    if (isNew) {
+      heirs.push_back(host);
+    }
+  }
   return heirs;
 }
 
--- /dev/null
+++ b/test/sapphirehook/gossip/fleet_size.cpp
@@ -0,0 +1,38 @@
+#include "sapphirehook/gossip/fleet_size.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirehook;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::seconds(10) };
+
+} // namespace
+
+TEST_CASE("a new leader goes by the count before until it has heard all",
+          "[gossip]")
+{
+  FleetSize size;
+  size.OnTold(61);
+  size.OnHeard(kStart, 5, kStart);
+  CHECK(size.Daemons() == 61);
+  CHECK(size.IsLarge());
+  size.OnHeard(kStart + kHearAllFollowers, 40, kStart);
+  CHECK(size.Daemons() == 40);
+}
+
+TEST_CASE("a follower counts in a small fleet, and is told in a large one",
+          "[gossip]")
+{
+  FleetSize size;
+  size.OnHeard(kStart, 8, std::nullopt);
+  CHECK(size.Daemons() == 8);
+  CHECK_FALSE(size.IsLarge());
+  size.OnHeard(kStart, 17, std::nullopt);
+  size.OnHeard(kStart, 3, std::nullopt);
+  CHECK(size.Daemons() == 17);
+  size.OnTold(12);
+  size.OnHeard(kStart, 11, std::nullopt);
+  CHECK(size.Daemons() == 11);
+}
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -334,3 +334,36 @@
     At(2900), { "c", 30 }, 1, false, { false, At(1500), false, {}, 0.2 });
   CHECK(leadership.ShouldClaim(At(3000)));
 }
+
+TEST_CASE(
+  "a new leader names the heirs of the one before until it hears others",
+  "[keys]")
+{
+  auto leadership = Follower();
+  leadership.SetHeirs({ "b", "c", "d" });
+  leadership.OnBeat(
+    At(1900), kOther, 1, false, { true, At(1900), false, {}, 0.2 });
+  leadership.OnClaimed(At(2000), 2);
+  CHECK(leadership.ChooseHeirs(At(2100)) ==
+        std::vector<std::string>{ "a", "c", "d" });
+  leadership.OnBeat(
+    At(2900), kOther, 2, false, { true, At(2900), false, {}, 0.2 });
+  CHECK(leadership.ChooseHeirs(At(3000)) == std::vector<std::string>{ "a" });
+}
+
+TEST_CASE("daemons read in the order of the heirs, or of their ranks before a "
+          "leader is found",
+          "[keys]")
+{
+  auto leadership = Follower();
+  CHECK(leadership.ReadingPlace(At(1100)) == std::optional<std::size_t>(0));
+  leadership.OnBeat(
+    At(1500), kOther, 0, false, { true, At(1500), false, {}, 0.5 });
+  CHECK(leadership.ReadingPlace(At(1600)) == std::optional<std::size_t>(1));
+  // A leader that names nobody yet.
+  leadership.OnBeat(
+    At(1700), kOther, 1, true, { true, At(1700), false, {}, 0.5 });
+  CHECK_FALSE(leadership.ReadingPlace(At(1800)).has_value());
+  leadership.SetHeirs({ "x", "b" });
+  CHECK(leadership.ReadingPlace(At(1900)) == std::optional<std::size_t>(1));
+}
