Small fleets go by the readers' proofs too

Cause: since the age of proofs decides who reads, small fleets no longer need every daemon to follow the store, and they had two modes of their own: long calls of 8 s by each, and a rule when such a call is made anew. Each change of an entry cost a call by each daemon.

Change: one mode for fleets of all sizes; ReadDuty knows no size, a reader no renewal.

--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -72,8 +72,7 @@
   void OnTopicRequest(const HostId& aFrom, const TopicRequest& aRequest);
   void OnRelay(const HostId& aFrom, const TopicRelay& aRelay);
   void ChooseReaders(TimePoint aNow);
-  [[nodiscard]] ReaderTimes TimesOf(const std::string& aTopic,
-                                    bool aVouched) const;
+  [[nodiscard]] ReaderTimes TimesOf(const std::string& aTopic) const;
   void FollowOrPause(TimePoint aNow,
                      const std::string& aTopic,
                      const ReadStep& aStep);
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-/** How long calls wait for a record while no peer vouches for this daemon's
-    copy: a connection that has gone silent is noticed within the 3 s for which
-    the users count it as reset. */
-constexpr Millis kUnvouchedWait{ 1000 };
+/** How long calls of a daemon wait for a record that reads for itself alone: a
+    connection that has gone silent is noticed within the 3 s for which the
+    users count it as reset. */
+constexpr Millis kOwnReadWait{ 1000 };
 /** A daemon that follows a topic by itself reads anew when it has been behind
     its peers for this long, and takes what they have: the connection of its
    read may have gone silent, or its link may be full. */
@@ -58,16 +58,12 @@
   return const_cast<TopicReader&>(std::as_const(*this).ReaderOf(aTopic));
 }
 
-/** In a large fleet the leader reads and passes records on. When the last proof
-   of a topic's end grows old, its heirs do, and then every daemon reads by
-   itself.
- */
+/** The leader reads and passes records on. When the last proof of a topic's end
+    grows old, its heirs do, and then every daemon reads by itself. */
 void
 Gateway::ChooseReaders(TimePoint aNow)
 {
-  m_readPlace = { m_ownership.Leads(),
-                  m_ownership.ReadingPlace(aNow),
-                  !m_fleet.IsLarge() };
+  m_readPlace = { m_ownership.Leads(), m_ownership.ReadingPlace(aNow) };
   TimePoint next = TimePoint::max();
   for (auto& [topic, spread] : m_spreads) {
     const auto step = spread.m_duty.Next(aNow, m_readPlace);
@@ -87,20 +83,16 @@
 }
 
 ReaderTimes
-Gateway::TimesOf(const std::string& aTopic, bool aVouched) const
+Gateway::TimesOf(const std::string& aTopic) const
 {
   ReaderTimes times = kReads;
-  const bool heir = m_readPlace.m_heir.has_value();
-  if (m_readPlace.m_leads || (heir && m_fleet.IsLarge())) {
-    times.m_wait = kProofEvery;
-  } else if (!aVouched) {
-    times.m_wait = kUnvouchedWait;
-  }
+  const bool readsForOthers = m_readPlace.m_leads || m_readPlace.m_heir;
+  times.m_wait = readsForOthers ? kProofEvery : kOwnReadWait;
   if (m_fleet.IsLarge()) {
     if (aTopic == m_protocol.m_endpointTopic) {
       times.m_gather = kGatherInLargeFleet;
     }
-    if (!m_readPlace.m_leads && !heir) {
+    if (!readsForOthers) {
       times.m_firstPause = kFirstPauseInLargeFleet;
       times.m_longestPause = kLongPauseInLargeFleet;
     }
@@ -115,15 +107,12 @@
 {
   auto& reader = ReaderOf(aTopic);
   const bool wasPaused = reader.IsPaused();
-  reader.SetTimes(TimesOf(aTopic, aStep.m_vouched));
+  reader.SetTimes(TimesOf(aTopic));
   if (aStep.m_follows) {
     reader.Resume();
   } else {
     reader.Pause();
   }
-  if (aStep.m_renews) {
-    reader.RenewWait();
-  }
   if (reader.IsPaused() != wasPaused) {
     const auto& duty = m_spreads.at(aTopic).m_duty;
     const auto heir = m_readPlace.m_heir;
@@ -141,9 +130,8 @@
 bool
 Gateway::PassesOn(const std::string& aTopic) const
 {
-  return m_fleet.IsLarge() &&
-         (m_ownership.Leads() ||
-          (m_readPlace.m_heir && !ReaderOf(aTopic).IsPaused()));
+  return m_ownership.Leads() ||
+         (m_readPlace.m_heir && !ReaderOf(aTopic).IsPaused());
 }
 
 bool
--- a/src/sapphirehook/store/read_duty.cpp
+++ b/src/sapphirehook/store/read_duty.cpp
@@ -22,7 +22,7 @@
 Millis
 ReadsAfter(const ReadPlace& aPlace) noexcept
 {
-  if (!aPlace.m_heir || aPlace.m_smallFleet) {
+  if (!aPlace.m_heir) {
     return kOthersReadAfter;
   }
   return std::min(kHeirReadsAfter +
@@ -86,27 +86,20 @@
 {
   const Millis after = ReadsAfter(aPlace);
   // An heir goes by those before it alone, or two would wait for each other.
-  const bool isHeir = aPlace.m_heir && !aPlace.m_smallFleet;
   const TimePoint vouchedAt =
-    isHeir ? m_before.m_completeAt : m_peers.m_completeAt;
-  const TimePoint staleAt = CompleteAt() + after;
-  ReadStep step;
-  step.m_vouched = !aPlace.m_leads && aNow < vouchedAt + after;
+    aPlace.m_heir ? m_before.m_completeAt : m_peers.m_completeAt;
   if (m_follows) {
-    m_follows = !step.m_vouched || aNow < m_followsSince + kFollowsAtLeast;
+    const bool isVouched = aNow < vouchedAt + after;
+    m_follows = !isVouched || aNow < m_followsSince + kFollowsAtLeast;
   }
   if (!m_follows && aNow >= std::max(vouchedAt, m_own) + after) {
     m_follows = true;
     m_followsSince = aNow;
   }
-  step.m_follows = m_follows || aPlace.m_leads || aPlace.m_smallFleet;
-  step.m_renews = step.m_follows && !step.m_vouched && aNow >= staleAt;
+  ReadStep step;
+  step.m_follows = m_follows || aPlace.m_leads;
   if (!step.m_follows) {
     step.m_until = std::max(vouchedAt, m_own) + after;
-  } else if (step.m_vouched) {
-    step.m_until = vouchedAt + after;
-  } else if (!step.m_renews) {
-    step.m_until = staleAt;
   }
   return step;
 }
--- a/src/sapphirehook/store/read_duty.hpp
+++ b/src/sapphirehook/store/read_duty.hpp
@@ -16,8 +16,6 @@
   bool m_leads = false;
   /** Place among those that read when the leader does not; the first is 0. */
   std::optional<std::size_t> m_heir;
-  /** In a small fleet every daemon follows the store by itself. */
-  bool m_smallFleet = false;
 };
 
 /** What a daemon is to do about a topic. */
@@ -25,21 +23,15 @@
 {
   /** It follows the store by itself. */
   bool m_follows = false;
-  /** The store has told a peer of late where the topic ends, so that an own
-     call may wait for long. */
-  bool m_vouched = false;
-  /** Its copy has grown old, so that a call that waits for a record may never
-     be answered. */
-  bool m_renews = false;
   /** When to look again. */
   TimePoint m_until = TimePoint::max();
 };
 
 /** Decides when a daemon reads a followed topic by itself and when it goes by
     what others read. It answers the pattern that one daemon reads for all and
-    loses the store without a word. Each daemon tells when the store last told
-   it where the topic ends; what counts is the age of that, never the claim to
-   be reading. When it grows old the heirs read, one after the other, then
+    loses the store without a word. Readers tell when the store last told them
+    where the topic ends; what counts is the age of that, never the claim to be
+    reading. When it grows old the heirs read, one after the other, then
     everybody. */
 class ReadDuty
 {
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -105,16 +105,6 @@
   }
 }
 
-void
-TopicReader::RenewWait()
-{
-  const bool mayBeSilent = m_client.IsBusy() && !m_client.HasAnswerBegun() &&
-                           BootClock::now() >= m_calledAt + kFirstBytesWithin;
-  if (mayBeSilent && m_calledWait > Millis(0)) {
-    Probe();
-  }
-}
-
 void
 TopicReader::Stop()
 {
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -112,10 +112,6 @@
       whether the store answers. */
   void Probe();
 
-  /** Does so if a call that waits for a record has been under way for so long
-      that its connection may have gone silent. */
-  void RenewWait();
-
   void Stop();
 
   /** Makes no more calls by itself, while others pass records on. Refresh
