A removal that may have lapsed counts from when the store may have made it

Cause: a term counted from when a host learns of a removal, 0.42 to 0.56 s after the store made it, since a reader gathers entries of a large fleet before it passes them on. The margin of 0.4 s was to cover the way to the endpoint alone.

Ruled out: a request held up on its way.

Change: the term counts from the last moment at which the host's copy is known to have been complete, or from the end of the outage, whichever is later: the removal is not older. The line endpoint-removed tells how long ago that was.

Figures: tests of a removal learned of late and of one learned of after the grace, red on the code before.

Why it works: a host learns of a removal at most 1.35 s and one call after the moment it counts from, so the term ends before the users' whatever the way took.

--- a/src/sapphirehook/discovery/endpoint_directory.cpp
+++ b/src/sapphirehook/discovery/endpoint_directory.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/discovery/endpoint_directory.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirehook {
@@ -28,7 +29,7 @@
 void
 EndpointDirectory::OnRemoved(TimePoint aNow,
                              const std::string& aName,
-                             bool aMayHaveLapsed)
+                             std::optional<TimePoint> aMayHaveLapsedAt)
 {
   const auto found = m_endpoints.find(aName);
   if (found == m_endpoints.end() || found->second.m_removedAt) {
@@ -36,8 +37,9 @@
   }
   auto& known = found->second;
   known.m_removedAt = aNow;
-  const bool waits = aMayHaveLapsed && !known.m_record.m_draining;
-  known.m_removalCountsAt = waits ? aNow + m_returnGrace : aNow;
+  const bool waits = aMayHaveLapsedAt && !known.m_record.m_draining;
+  known.m_removalCountsAt =
+    waits ? std::max(aNow, *aMayHaveLapsedAt + m_returnGrace) : aNow;
 }
 
 void
--- a/src/sapphirehook/discovery/endpoint_directory.hpp
+++ b/src/sapphirehook/discovery/endpoint_directory.hpp
@@ -68,10 +68,13 @@
   /** Takes an entry in. Returns false when it changes nothing. */
   bool OnRecord(TimePoint aNow, EndpointRecord aRecord);
 
-  /** Takes in that the entry of a name has been removed. aMayHaveLapsed tells
-      that the store was in trouble shortly before, so that the entry may come
-      back: the removal then counts after the grace. */
-  void OnRemoved(TimePoint aNow, const std::string& aName, bool aMayHaveLapsed);
+  /** Takes in that the entry of a name has been removed. When the store was in
+      trouble shortly before, it may have lapsed and come back: the removal
+      then counts after the grace, from the earliest moment at which the store
+      may have made it, aMayHaveLapsedAt. */
+  void OnRemoved(TimePoint aNow,
+                 const std::string& aName,
+                 std::optional<TimePoint> aMayHaveLapsedAt);
 
   /** Forgets endpoints whose removal has counted for the given time. */
   void Forget(TimePoint aNow, Millis aAfter);
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -15,7 +15,8 @@
 /** Time between two beats to the peers. */
 constexpr Millis kBeatEvery{ 150 };
 /** An entry that may have lapsed counts as removed this long before a leaving
-    endpoint must get no more work, which covers the way to the endpoint. */
+    endpoint must get no more work, which covers the way to the endpoint, and
+    what the word of other daemons is older than it seems. */
 constexpr Millis kDrainMargin{ 400 };
 /** Entries lapse after three heartbeats; the last one may have been just due
     when an outage began. */
@@ -273,12 +274,18 @@
 {
   const TimePoint now = BootClock::now();
   if (!aRecord.m_value) {
+    // What this daemon knew was complete then, so that the removal is later.
+    const TimePoint knownAt =
+      m_spreads.at(m_protocol.m_endpointTopic).m_duty.CompleteAt();
     const bool lapsed = m_outages.MayHaveLapsed(now);
+    const TimePoint lapsedAt = std::max(knownAt, m_outages.EndedAt(now));
     m_log.Write(LogLine("endpoint-removed")
                   .Add("endpoint", aRecord.m_key)
                   .Add("offset", aRecord.m_offset)
-                  .Add("may_have_lapsed", lapsed ? 1 : 0));
-    m_directory.OnRemoved(now, aRecord.m_key, lapsed);
+                  .Add("may_have_lapsed", lapsed ? 1 : 0)
+                  .Add("known_ms_ago", now - knownAt));
+    m_directory.OnRemoved(
+      now, aRecord.m_key, lapsed ? std::optional(lapsedAt) : std::nullopt);
   } else {
     auto record = m_protocol.m_parseEndpoint(aRecord.m_key, *aRecord.m_value);
     if (!record.ok()) {
--- a/src/sapphirehook/store/outage_watch.hpp
+++ b/src/sapphirehook/store/outage_watch.hpp
@@ -33,6 +33,12 @@
   /** Whether an entry that is found to be removed may have lapsed. */
   [[nodiscard]] bool MayHaveLapsed(TimePoint aNow) const noexcept;
 
+  /** When the outage ended that MayHaveLapsed tells of: now while it lasts. */
+  [[nodiscard]] TimePoint EndedAt(TimePoint aNow) const noexcept
+  {
+    return m_outageSince ? aNow : m_longOutageEnded.value_or(aNow);
+  }
+
 private:
   Millis m_shortestLapse;
   TimePoint m_servedAt{};
--- a/test/sapphirehook/discovery/endpoint_directory.cpp
+++ b/test/sapphirehook/discovery/endpoint_directory.cpp
@@ -60,25 +60,36 @@
   directory.OnRecord(At(0), Record(1, false));
   SECTION("in calm")
   {
-    directory.OnRemoved(At(10), "e", false);
+    directory.OnRemoved(At(10), "e", std::nullopt);
     CHECK_FALSE(Usable(directory, 10));
   }
   SECTION("as a lapse that comes back")
   {
-    directory.OnRemoved(At(10), "e", true);
+    directory.OnRemoved(At(10), "e", At(10));
     CHECK(Usable(directory, 1609));
     directory.OnRecord(At(1000), Record(1, false));
     CHECK(Usable(directory, 5000));
   }
   SECTION("as a lapse that does not come back")
   {
-    directory.OnRemoved(At(10), "e", true);
+    directory.OnRemoved(At(10), "e", At(10));
     CHECK_FALSE(Usable(directory, 1610));
   }
+  SECTION("as a lapse that was learned of late")
+  {
+    directory.OnRemoved(At(600), "e", At(10));
+    CHECK(Usable(directory, 1609));
+    CHECK_FALSE(Usable(directory, 1610));
+  }
+  SECTION("as a lapse that was learned of after the grace")
+  {
+    directory.OnRemoved(At(3000), "e", At(10));
+    CHECK_FALSE(Usable(directory, 3000));
+  }
   SECTION("of one that was leaving")
   {
     directory.OnRecord(At(5), Record(1, true));
-    directory.OnRemoved(At(10), "e", true);
+    directory.OnRemoved(At(10), "e", At(10));
     CHECK_FALSE(Usable(directory, 10));
   }
 }
--- a/test/sapphirehook/store/outage_watch.cpp
+++ b/test/sapphirehook/store/outage_watch.cpp
@@ -67,3 +67,15 @@
   watch.OnServed(At(7990));
   CHECK(watch.MayHaveLapsed(At(9800)));
 }
+
+TEST_CASE("entries that lapsed are waited for from the end of an outage",
+          "[store]")
+{
+  OutageWatch watch(kShortest);
+  watch.OnServed(At(1000));
+  watch.OnRefused(At(2000));
+  CHECK(watch.EndedAt(At(4000)) == At(4000));
+  watch.OnServed(At(5000));
+  REQUIRE(watch.MayHaveLapsed(At(5600)));
+  CHECK(watch.EndedAt(At(5600)) == At(5000));
+}
