A host that was frozen neither denies added routes nor trusts what it reads late

A 404 claims that no version has the route; a host that has heard nothing for 2.5 s can't know.

Change: a request without a route is refused with 503 and Retry-After 0.3 while the host's copy of the configuration may lack what was accepted 2 s ago.

Ruled out: holding such requests until the copy is fresh; callers come back sooner through another host, and an outage of the store would hold them for long.

--- a/soak/endpoint.cpp
+++ b/soak/endpoint.cpp
@@ -28,6 +28,10 @@
 constexpr int kWork = 40;           // milliseconds
 constexpr double kLongShare = 0.03; // of all requests
 constexpr int kLongTimes = 7;
+/** Ticks by which a pause of the process is noticed, and how late one is then.
+ */
+constexpr Millis kArrivalTick{ 20 };
+constexpr Millis kPaused{ 100 };
 /** Late grants are carried out after this, and this much more at most. */
 constexpr Millis kLateLeast{ 1000 };
 constexpr int kLateMore = 4000; // milliseconds
@@ -72,7 +76,7 @@
   , m_store(aLoop, m_options.m_store)
   , m_announceTimer(aLoop, [this] { Announce(); })
   , m_tickTimer(aLoop, [this] { m_arrivals.OnTick(BootClock::now()); })
-  , m_arrivals(BootClock::now())
+  , m_arrivals(BootClock::now(), kPaused)
   , m_delayed(aLoop)
   , m_random(m_options.m_seed)
 {
@@ -94,7 +98,7 @@
     return false;
   }
   m_announceTimer.StartEvery(kHeartbeat);
-  m_tickTimer.StartEvery(ArrivalClock::kTick);
+  m_tickTimer.StartEvery(kArrivalTick);
   Announce();
   return true;
 }
--- a/soak/endpoint.hpp
+++ b/soak/endpoint.hpp
@@ -2,8 +2,8 @@
 #define SAPPHIREHOOK_SOAK_ENDPOINT_HPP
 
 #include "platform/standin_formats.hpp"
+#include "sapphirehook/core/arrival_clock.hpp"
 #include "sapphirehook/gateway/protocol.hpp"
-#include "soak/arrival_clock.hpp"
 #include "soak/delayed_calls.hpp"
 #include "soak/journal.hpp"
 #include "soak/leases.hpp"
--- a/src/sapphirehook/core/fwd.hpp
+++ b/src/sapphirehook/core/fwd.hpp
@@ -10,6 +10,7 @@
 struct GroupId;
 struct Token;
 class Waker;
+class ArrivalClock;
 class BytePipe;
 class LatencyHistogram;
 
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -12,8 +12,13 @@
 
 namespace {
 
-/** Time between two beats to the peers. */
+/** Time between two beats to the peers, and how late one tells that the daemon
+    did not run. */
 constexpr Millis kBeatEvery{ 150 };
+constexpr Millis kPaused{ 300 };
+/** Changes of the configuration are in force within this time of their
+    acknowledgement (the users' config-apply-ms). */
+constexpr Millis kChangesInForceWithin{ 2000 };
 /** An entry that may have lapsed counts as removed this long before a leaving
     endpoint must get no more work, which covers the way to the endpoint, and
     what the word of other daemons is older than it seems. */
@@ -136,6 +141,7 @@
   , m_directoryTimer(m_loop, [this] { OnEndpointsChanged(); })
   , m_catchUpTimer(m_loop, [this] { CatchUp(BootClock::now()); })
   , m_readersTimer(m_loop, [this] { ChooseReaders(BootClock::now()); })
+  , m_arrivals(BootClock::now(), kPaused)
   , m_outages(m_settings.m_endpointHeartbeat * kHeartbeatsToLapse)
   , m_relayCredit(kRelayPart * m_settings.m_linkMbps * kMegabit / kByteBits,
                   kMostRelayCredit)
@@ -152,6 +158,10 @@
   m_ownership.m_listReadAt = [this](TimePoint aWanted) {
     return EndpointsReadAt(aWanted);
   };
+  m_engine.m_mayLackRoutes = [this] {
+    const auto& duty = m_spreads.at(m_protocol.m_configTopic).m_duty;
+    return BootClock::now() >= duty.CompleteAt() + kChangesInForceWithin;
+  };
   m_engine.m_onMisdirected = [this](const std::string& aService, Key aKey) {
     m_ownership.OnMisdirected(aService, aKey);
   };
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREHOOK_GATEWAY_GATEWAY_HPP
 #define SAPPHIREHOOK_GATEWAY_GATEWAY_HPP
 
+#include "sapphirehook/core/arrival_clock.hpp"
 #include "sapphirehook/gateway/host_registry.hpp"
 #include "sapphirehook/gateway/ownership.hpp"
 #include "sapphirehook/gateway/settings.hpp"
@@ -54,7 +55,7 @@
   void CountDaemons(TimePoint aNow);
   [[nodiscard]] Beat MakeBeat(TimePoint aNow);
   void SendBeat();
-  void TakeProofs(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
+  void TakeProofs(TimePoint aCameAt, const HostId& aFrom, const Beat& aBeat);
   void OnOwnProof(const std::string& aTopic, const EndProof& aProof);
   void CompareEnds(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void CatchUp(TimePoint aNow);
@@ -111,6 +112,8 @@
   FleetSize m_fleet;
   unsigned m_beats = 0;
   ReadPlace m_readPlace;
+  /** When datagrams came that are read now. */
+  ArrivalClock m_arrivals;
   bool m_storeWorks = false;
   TimePoint m_storeProvenAt{};
   TimePoint m_probedAt{};
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -19,13 +19,15 @@
 {
   if (const auto* beat = std::get_if<Beat>(&aMessage)) {
     const TimePoint now = BootClock::now();
+    // A daemon that was frozen reads old beats first.
+    const TimePoint cameAt = m_arrivals.EarliestArrival(now);
     TakeUse(now, aFrom, *beat);
     if (beat->m_storeWorks) {
-      m_outages.OnServed(now - Millis(beat->m_storeProofAgeMs));
+      m_outages.OnServed(cameAt - Millis(beat->m_storeProofAgeMs));
     } else {
       m_outages.OnRefused(now);
     }
-    TakeProofs(now, aFrom, *beat);
+    TakeProofs(cameAt, aFrom, *beat);
     CompareEnds(now, aFrom, *beat);
   }
   if (const auto* relay = std::get_if<TopicRelay>(&aMessage)) {
@@ -60,6 +62,7 @@
 Gateway::OnTick()
 {
   const TimePoint now = BootClock::now();
+  m_arrivals.OnTick(now);
   const bool skips = m_fleet.IsLarge() && !m_ownership.Leads() && !m_stopping &&
                      !PassesOnAny() && ++m_beats % kFollowerBeats != 0;
   if (!skips) {
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -143,7 +143,7 @@
 
 /** Takes in what the store has told a peer. */
 void
-Gateway::TakeProofs(TimePoint aNow, const HostId& aFrom, const Beat& aBeat)
+Gateway::TakeProofs(TimePoint aCameAt, const HostId& aFrom, const Beat& aBeat)
 {
   const auto own = m_readPlace.m_heir;
   const auto its = m_ownership.HeirPlace(aFrom.m_host);
@@ -152,7 +152,7 @@
     const auto told = aBeat.m_toldEnds.find(topic);
     if (told != aBeat.m_toldEnds.end()) {
       spread.m_duty.OnPeerProof(
-        { told->second.m_end, aNow - Millis(told->second.m_ageMs), {} },
+        { told->second.m_end, aCameAt - Millis(told->second.m_ageMs), {} },
         before,
         ReaderOf(topic).End());
     }
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/** A daemon that may lack routes has read them within this time, unless the
+    store is away. */
+constexpr Millis kRoutesReadWithin{ 300 };
 /** Time in which answers are late by being brought from another zone. */
 constexpr Millis kZoneCost{ 3 };
 /** The same for large bodies, whose bytes between zones cost more. */
@@ -173,8 +176,8 @@
 RequestEngine::OnRequest(AnswerSink& aSink, RequestHead&& aHead)
 {
   if (!m_routes) {
-    constexpr Millis kStartUp{ 300 }; // a configuration is read in less
-    AnswerDirectly(aSink, kUnavailable, "no configuration yet", kStartUp);
+    AnswerDirectly(
+      aSink, kUnavailable, "no configuration yet", kRoutesReadWithin);
     return nullptr;
   }
   const auto* host = FindHeader(aHead.m_headers, "Host");
@@ -186,7 +189,12 @@
   const Route* route = m_routes->Find(*host, aHead.m_target);
   if (route == nullptr) {
     ++m_metrics.m_unrouted;
-    AnswerDirectly(aSink, kNotFound, "no route", std::nullopt);
+    if (m_mayLackRoutes && m_mayLackRoutes()) {
+      AnswerDirectly(
+        aSink, kUnavailable, "no route known yet", kRoutesReadWithin);
+    } else {
+      AnswerDirectly(aSink, kNotFound, "no route", std::nullopt);
+    }
     return nullptr;
   }
   auto transaction = std::make_shared<Transaction>();
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -141,6 +141,10 @@
     return m_routes.get();
   }
 
+  /** Returns whether routes may have been added that this daemon does not know
+      of, so that it cannot tell that there is none for a request. */
+  std::function<bool()> m_mayLackRoutes;
+
   /** Called when an endpoint refused a key that the map says it holds. */
   std::function<void(const std::string& aService, Key aKey)> m_onMisdirected;
 
--- a/test/process/configuration_spread.cpp
+++ b/test/process/configuration_spread.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <map>
 #include <memory>
 #include <random>
@@ -226,3 +227,32 @@
   bed.Put(4);
   CHECK(bed.IsInForceWithin(kLate, 4, kInForceWithin));
 }
+
+// A frozen host finds the callers' requests before it has read anything.
+TEST_CASE("a host that wakes up does not deny a route that was added meanwhile",
+          "[process]")
+{
+  Bed bed(3);
+  const std::size_t frozen = (bed.Leader() + 1) % 3;
+  bed.Signal(frozen, SIGSTOP);
+  bed.Put(3);
+  bed.RunFor(Millis(2500));
+  std::vector<int> statuses;
+  HttpClient client(bed.Loop(), bed.CallersAddress(frozen));
+  const std::function<void()> ask = [&] {
+    client.Call({ "GET", Concat(AddedPath(3), "x"), "", "" },
+                Millis(4000),
+                [&](const CallResult& aResult) {
+                  statuses.push_back(aResult.m_answer.m_head.m_status);
+                  if (statuses.size() < 20) {
+                    bed.Loop().Defer(ask);
+                  }
+                });
+  };
+  ask();
+  bed.RunFor(Millis(100));
+  bed.Signal(frozen, SIGCONT);
+  REQUIRE(bed.RunUntil([&] { return statuses.size() >= 3; }, Millis(6000)));
+  CHECK(std::count(statuses.begin(), statuses.end(), 503) ==
+        static_cast<std::ptrdiff_t>(statuses.size()));
+}
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -274,6 +274,21 @@
   CHECK(Bed::Is(bed.Ask("/none/x", "idn"), 404));
 }
 
+TEST_CASE("a daemon that may lack routes does not say that there is none",
+          "[gateway]")
+{
+  Bed bed;
+  bed.List("plain");
+  bool mayLack = true;
+  bed.m_engine.m_mayLackRoutes = [&] { return mayLack; };
+  const auto answer = bed.Ask("/none/x", "id1");
+  CHECK(Bed::Is(answer, 503));
+  CHECK(answer.find("Retry-After: 0.3") != std::string::npos);
+  CHECK(Bed::Is(bed.Ask("/safe/x", "id2"), 200));
+  mayLack = false;
+  CHECK(Bed::Is(bed.Ask("/none/x", "id3"), 404));
+}
+
 TEST_CASE("pipelined requests get their own answers in order", "[gateway]")
 {
   Bed bed;
