Odd entries of another writer name no endpoint, and keep nobody from following the list

What callers saw: at another operator's, daemons that read one odd entry (nested deeply, a number too large, a port out of range) ended again and again, or followed the list no more. Here: no end was seen with 49 odd entries; but 14 of them were taken for endpoints, one with a key that ends a header of the requests sent to it; an entry under a living endpoint's name whose run starts in a thousand years kept that endpoint out for good; and one record whose content can't be read, or a key that is not UTF-8, would have made each page malformed, and the reader ask for it for ever. A key with a space at the end of a page broke the next call.

Cause: values were checked for their type, not for what a server may have; pages were taken whole or not at all.

Change: bounds for slots, start-up time, start, port, address and name; entries above 16 KB are not parsed, and are passed on as empty; an entry that starts more than a minute in the future counts as another writer's; records that can't be read are passed over one by one and counted in a line; keys are percent-encoded in calls.

Ruled out: deep nesting in itself.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -29,6 +29,10 @@
 /** The list of endpoints is read anew at most this often, to tell whether one
     that refuses connections is leaving. */
 constexpr Millis kProbeEvery{ 200 };
+/** Times of day of two hosts differ by less than this; they may jump by
+ * seconds.
+ */
+constexpr Millis kClocksDiffer{ 60'000 };
 /** Removed endpoints are forgotten after this. */
 constexpr Millis kForgetAfter{ 60'000 };
 /** After the signal to stop, the balancer sends new connections for up to two
@@ -66,6 +70,16 @@
       .count());
 }
 
+/** Whether a run of an endpoint is said to start later than clocks that differ
+    explain. */
+bool
+StartsInFuture(const EndpointLife& aLife)
+{
+  const auto now = std::chrono::duration_cast<Millis>(
+    std::chrono::system_clock::now().time_since_epoch());
+  return Millis(aLife.m_startedAt) > now + kClocksDiffer;
+}
+
 OwnershipSettings
 OwnershipSettingsOf(const GatewaySettings& aSettings)
 {
@@ -119,9 +133,12 @@
                  m_ownership.OnHost(aHost, aEntry.m_processorShare);
                  OnHostFound();
                })
-  , m_configReader(MakeReader(m_protocol.m_configTopic, &Gateway::OnConfig))
-  , m_endpointReader(
-      MakeReader(m_protocol.m_endpointTopic, &Gateway::OnEndpoint))
+  , m_configReader(MakeReader(m_protocol.m_configTopic,
+                              &Gateway::OnConfig,
+                              TopicReader::kAnyValue))
+  , m_endpointReader(MakeReader(m_protocol.m_endpointTopic,
+                                &Gateway::OnEndpoint,
+                                m_protocol.m_mostEndpointBytes))
   , m_callers(m_loop, [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
   , m_ready(m_loop,
             [this](const HttpExchangePtr& aExchange) {
@@ -169,26 +186,36 @@
 
 TopicReader
 Gateway::MakeReader(const std::string& aTopic,
-                    void (Gateway::*aOnRecord)(const KeyedRecord&))
+                    void (Gateway::*aOnRecord)(const KeyedRecord&),
+                    std::size_t aMostValue)
 {
-  return {
-    m_loop,
-    m_protocol.m_store,
-    ToSocketAddress(m_settings.m_store),
-    aTopic,
-    kReads,
-    TopicEvents{
-      [this, aOnRecord](const KeyedRecord& aRecord) {
-        (this->*aOnRecord)(aRecord);
-      },
-      [this, aTopic](Offset aFrom, Offset, const std::vector<KeyedRecord>&) {
-        RelayRecords(aTopic, aFrom);
-      },
-      [this, aTopic](const EndProof& aProof) { OnOwnProof(aTopic, aProof); },
-      [this, aTopic](const ReadTrouble& aTrouble) {
-        OnReadTrouble(aTopic, aTrouble);
-      } }
+  TopicEvents events;
+  events.m_onRecord = [this, aOnRecord](const KeyedRecord& aRecord) {
+    (this->*aOnRecord)(aRecord);
   };
+  events.m_onBatch =
+    [this, aTopic](Offset aFrom, Offset, const std::vector<KeyedRecord>&) {
+      RelayRecords(aTopic, aFrom);
+    };
+  events.m_onCaughtUp = [this, aTopic](const EndProof& aProof) {
+    OnOwnProof(aTopic, aProof);
+  };
+  events.m_onTrouble = [this, aTopic](const ReadTrouble& aTrouble) {
+    OnReadTrouble(aTopic, aTrouble);
+  };
+  events.m_onUnreadable = [this, aTopic](std::size_t aRecords) {
+    WriteSparsely(aTopic,
+                  LogLine("records-unreadable")
+                    .Add("topic", aTopic)
+                    .Add("records", aRecords));
+  };
+  return { m_loop,
+           m_protocol.m_store,
+           ToSocketAddress(m_settings.m_store),
+           aTopic,
+           kReads,
+           std::move(events),
+           aMostValue };
 }
 
 absl::Status
@@ -298,6 +325,10 @@
       now, aRecord.m_key, lapsed ? std::optional(lapsedAt) : std::nullopt);
   } else {
     auto record = m_protocol.m_parseEndpoint(aRecord.m_key, *aRecord.m_value);
+    if (record.ok() && StartsInFuture(record->m_life)) {
+      // Another writer's: no later entry of the endpoint's own would count.
+      record = absl::InvalidArgumentError("its run starts in the future");
+    }
     if (!record.ok()) {
       m_log.Write(LogLine("endpoint-entry-rejected")
                     .Add("offset", aRecord.m_offset)
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -60,7 +60,8 @@
   void CompareEnds(TimePoint aNow, const HostId& aFrom, const Beat& aBeat);
   void CatchUp(TimePoint aNow);
   TopicReader MakeReader(const std::string& aTopic,
-                         void (Gateway::*aOnRecord)(const KeyedRecord&));
+                         void (Gateway::*aOnRecord)(const KeyedRecord&),
+                         std::size_t aMostValue);
   [[nodiscard]] TopicReader& ReaderOf(const std::string& aTopic);
   [[nodiscard]] const TopicReader& ReaderOf(const std::string& aTopic) const;
   /** Returns datagrams with what a peer misses that has read up to an offset.
--- a/src/sapphirehook/gateway/protocol.hpp
+++ b/src/sapphirehook/gateway/protocol.hpp
@@ -33,6 +33,8 @@
 
   /** Topic of the endpoints' entries, keyed by their names. */
   std::string m_endpointTopic;
+  /** Largest entry of an endpoint, in bytes. */
+  std::size_t m_mostEndpointBytes = 0;
   absl::StatusOr<EndpointRecord> (*m_parseEndpoint)(const std::string& aName,
                                                     std::string_view aText);
 
--- a/src/sapphirehook/store/keyed_record.hpp
+++ b/src/sapphirehook/store/keyed_record.hpp
@@ -66,6 +66,8 @@
   Offset m_end = 0;
   /** More keys follow the last one of this page. */
   bool m_hasMore = false;
+  /** Records that could not be read; they are left out, or have no key. */
+  std::size_t m_unreadable = 0;
 };
 
 /** The store's word on the end of a topic: a copy up to an offset lacked
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -52,11 +52,13 @@
                          sockaddr_in aStore,
                          std::string aTopic,
                          ReaderTimes aTimes,
-                         TopicEvents aEvents)
+                         TopicEvents aEvents,
+                         std::size_t aMostValue)
   : m_protocol(aProtocol)
   , m_topic(std::move(aTopic))
   , m_times(aTimes)
   , m_events(std::move(aEvents))
+  , m_mostValue(aMostValue)
   , m_client(aLoop, aStore)
   , m_timer(aLoop,
             [this] {
@@ -201,6 +203,7 @@
     OnFault(aPage.m_answer, aResult);
     return;
   }
+  TellUnreadable(aPage);
   if (m_after.empty()) {
     m_newestEnd = aPage.m_end;
   }
@@ -283,6 +286,7 @@
     OnFault(aPage.m_answer, aResult);
     return;
   }
+  TellUnreadable(aPage);
   m_backoff.Reset();
   m_unserved = false;
   if (!aPage.m_records.empty()) {
@@ -321,10 +325,22 @@
 void
 TopicReader::Give(const KeyedRecord& aRecord)
 {
+  if (aRecord.m_value && aRecord.m_value->size() > m_mostValue) {
+    Give({ aRecord.m_offset, aRecord.m_key, std::string() });
+    return;
+  }
   m_image.Add(aRecord);
   m_events.m_onRecord(aRecord);
 }
 
+void
+TopicReader::TellUnreadable(const KeyedPage& aPage) const
+{
+  if (aPage.m_unreadable > 0 && m_events.m_onUnreadable) {
+    m_events.m_onUnreadable(aPage.m_unreadable);
+  }
+}
+
 void
 TopicReader::OnFault(StoreAnswer aAnswer, const CallResult& aResult)
 {
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -6,6 +6,7 @@
 #include "sapphirehook/store/topic_image.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -70,6 +71,8 @@
   std::function<void(const EndProof& aProof)> m_onCaughtUp;
   /** The store did not serve a call; it is tried again. */
   std::function<void(const ReadTrouble&)> m_onTrouble;
+  /** Records were passed over, since they can't be read. Optional. */
+  std::function<void(std::size_t aRecords)> m_onUnreadable = {};
 };
 
 /** How a reader spaces its calls. */
@@ -92,12 +95,18 @@
 class TopicReader
 {
 public:
+  static constexpr std::size_t kAnyValue =
+    std::numeric_limits<std::size_t>::max();
+
+  /** A value of more than aMostValue bytes is given, and passed on, as an empty
+      one: it is none of those that the topic is for. */
   TopicReader(EventLoop& aLoop,
               const StoreProtocol& aProtocol,
               sockaddr_in aStore,
               std::string aTopic,
               ReaderTimes aTimes,
-              TopicEvents aEvents);
+              TopicEvents aEvents,
+              std::size_t aMostValue = kAnyValue);
 
   void Start();
 
@@ -166,6 +175,7 @@
   void OnRead(const KeyedPage& aPage, const CallResult& aResult);
   void RemoveUnlisted(const std::vector<KeyedRecord>& aListed, Offset aOffset);
   void Give(const KeyedRecord& aRecord);
+  void TellUnreadable(const KeyedPage& aPage) const;
   void FinishNewest();
   void Prove(TimePoint aAt, TimePoint aAskedAt);
   void OnFault(StoreAnswer aAnswer, const CallResult& aResult);
@@ -176,6 +186,7 @@
   std::string m_topic;
   ReaderTimes m_times;
   TopicEvents m_events;
+  std::size_t m_mostValue;
   HttpClient m_client;
   Timer m_timer;
   Backoff m_backoff;
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -94,6 +94,104 @@
   CHECK_FALSE(parse("e", "\x01\x02").ok());
 }
 
+TEST_CASE("an entry with values that no server has names no endpoint",
+          "[platform]")
+{
+  const auto parse = platform::Protocol().m_parseEndpoint;
+  const auto isRefused = [&](const std::string& aFrom, const std::string& aTo) {
+    const auto record = parse("e", Replaced(kEntry, aFrom, aTo));
+    return !record.ok();
+  };
+  for (const char* born : { "-1", "9223372036854775807", "1e30", "1e400" }) {
+    CHECK(isRefused("17", born));
+  }
+  for (const char* slots :
+       { "0}", "-6}", "18446744073709551615}", "4294967296}", "1e400}" }) {
+    CHECK(isRefused("6}", slots));
+  }
+  for (const char* left :
+       { "-1", "9223372036854775807", "-9223372036854775808" }) {
+    CHECK(isRefused("250", left));
+  }
+  for (const char* address : { "10.128.0.9:99999",
+                               "10.128.0.9:0",
+                               "10.128.0.9:-1",
+                               "255.255.255.255:80",
+                               "0.0.0.0:80",
+                               "224.0.0.1:80" }) {
+    CHECK(isRefused("10.128.0.9:8080", address));
+  }
+  CHECK(isRefused("\"service\":\"s\"", "\"service\":\"\""));
+  // A key that would end a header.
+  CHECK_FALSE(parse("e\r\nX-Other: 1", kEntry).ok());
+  CHECK_FALSE(parse("", kEntry).ok());
+  CHECK_FALSE(parse("e e", kEntry).ok());
+  // Nesting without end.
+  constexpr std::size_t kDeep = 200'000;
+  CHECK_FALSE(parse("e", std::string(kDeep, '[')).ok());
+  std::string nested;
+  for (std::size_t i = 0; i < kDeep; ++i) {
+    nested += "{\"a\":";
+  }
+  CHECK_FALSE(parse("e", nested).ok());
+  CHECK_FALSE(parse("e",
+                    Replaced(kEntry,
+                             "250",
+                             "250,\"x\":" + std::string(15'000, '[') +
+                               std::string(15'000, ']')))
+                .ok());
+}
+
+TEST_CASE("a page with records that can't be read brings the others",
+          "[platform]")
+{
+  const auto store = platform::Protocol().m_store;
+  SECTION("of the history")
+  {
+    // The length of the second record's key is more than the record has.
+    std::string body(16, '\0');
+    body[7] = 7; // the end
+    body += std::string("\0\0\0\3\1av", 7);
+    body += std::string("\0\0\0\2\xC8x", 6);
+    body += std::string("\0\0\0\0", 4);
+    body += std::string("\0\0\0\3\1bw", 7);
+    const auto page = store.m_parseRead(Answered(200, body), 3);
+    REQUIRE(page.m_answer == StoreAnswer::Ok);
+    REQUIRE(page.m_records.size() == 4);
+    CHECK(page.m_records[0].m_key == "a");
+    CHECK(page.m_records[3].m_key == "b");
+    CHECK(page.m_records[3].m_offset == 6);
+    // One that is cut off is no page.
+    body.pop_back();
+    CHECK(store.m_parseRead(Answered(200, body), 3).m_answer ==
+          StoreAnswer::Malformed);
+  }
+  SECTION("of the newest values")
+  {
+    const auto page = store.m_parseNewest(Answered(
+      200,
+      "{\"items\":[{\"key\":\"\xFF\xFE\",\"value\":\"MQ==\",\"offset\":1},"
+      "{\"key\":7,\"value\":\"MQ==\",\"offset\":2},"
+      "{\"key\":\"b\",\"value\":\"!\",\"offset\":3},"
+      "{\"key\":\"c\",\"value\":\"MQ==\",\"offset\":4}],"
+      "\"has-more\":false,\"end-offset\":5}"));
+    REQUIRE(page.m_answer == StoreAnswer::Ok);
+    CHECK(page.m_end == 5);
+    REQUIRE_FALSE(page.m_records.empty());
+    CHECK(page.m_records.back().m_key == "c");
+    CHECK(page.m_unreadable == 3);
+  }
+}
+
+TEST_CASE("a key of any bytes can follow in a call for newest values",
+          "[platform]")
+{
+  const auto store = platform::Protocol().m_store;
+  const auto call = store.m_newest("keyed.t", "a b\r\nGET /&x=\xFF%");
+  CHECK(call.m_target.find("after=a%20b%0D%0AGET%20/%26x%3D%FF%25") !=
+        std::string::npos);
+}
+
 TEST_CASE("damaged entries and configurations never do harm", "[platform]")
 {
   std::mt19937 random(6);
--- a/test/process/gateway_bed.cpp
+++ b/test/process/gateway_bed.cpp
@@ -133,6 +133,13 @@
   m_fleet.m_gateways[aGateway].m_process->Signal(aSignal);
 }
 
+void
+GatewayBed::Restart(std::size_t aGateway)
+{
+  m_fleet.m_gateways[aGateway].m_process->Kill();
+  m_fleet.StartGateway(aGateway);
+}
+
 bool
 GatewayBed::HasEnded(std::size_t aGateway)
 {
--- a/test/process/gateway_bed.hpp
+++ b/test/process/gateway_bed.hpp
@@ -47,6 +47,12 @@
                  const std::string& aKey,
                  const std::string& aValue);
 
+  /** Makes a call to the store. */
+  void CallStore(const HttpCall& aCall) { m_fleet.CallStore(aCall); }
+
+  /** Kills a gateway and starts it again. */
+  void Restart(std::size_t aGateway);
+
   /** Returns the gateway that began to lead last, by the gateways' logs. */
   [[nodiscard]] std::size_t Leader() const;
 
