An earlier refusal that comes again refuses no request; releases go over fresh connections

(1) A refusal that names no request was taken for the answer to whatever was under way on the connection: 503 for a request that ran, and after a 421 without a name a never-repeat request ran twice. (2) A request that is sent again has the same id, so that its first refusal, written once more, refused the second send: it ran three times in the test.

Cause: a refusal was believed without proof of what it refuses.

Change: a refusal without an id counts only as the first answer on its connection; behind others the fate of the request is unknown (502, or another attempt where it may run twice). A request is not sent again over a connection on which it was refused. The same class at orders: answers to them name nothing, and after the answer to a release its keys go to another endpoint; each release has a connection of its own.

--- a/src/sapphirehook/gateway/endpoint_orders.cpp
+++ b/src/sapphirehook/gateway/endpoint_orders.cpp
@@ -204,6 +204,9 @@
                  if (aResult.m_end != CallEnd::NoAnswer) {
                    NoteResult(aResult, *client);
                  }
+                 // An answer that the endpoint writes once more must not be
+                 // taken for that of the next release.
+                 client->Close();
                  m_events.m_onReleaseEnd(id, m_protocol.m_parseOrder(aResult));
                });
 }
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -6,8 +6,8 @@
 #include <array>
 #include <utility>
 
-// What becomes of a request once it has been placed: sends, answers, repeats
-// and refusals.
+// What becomes of a request that was sent or waits: answers, repeats and
+// refusals.
 
 namespace sapphirehook {
 
@@ -15,10 +15,6 @@
 
 namespace {
 
-/** Largest body, in bytes, that is kept for another attempt. */
-constexpr std::size_t kKeptBody = 524'288;
-/** Idle connections that are kept to one endpoint. */
-constexpr std::size_t kMaxIdle = 8;
 /** After this part of its objective a request that still waits is refused. */
 constexpr double kWaitPart = 0.5;
 /** Wait before a key is tried again that its holder refused. */
@@ -39,171 +35,8 @@
   return kNames.at(static_cast<std::size_t>(aEnd));
 }
 
-/** Returns whether the Connection header names another header. */
-bool
-IsNamedByConnection(const std::string* aConnection, std::string_view aName)
-{
-  if (aConnection == nullptr) {
-    return false;
-  }
-  std::string_view rest = *aConnection;
-  while (!rest.empty()) {
-    const auto comma = rest.find(',');
-    auto token = rest.substr(0, comma);
-    while (!token.empty() && token.front() == ' ') {
-      token.remove_prefix(1);
-    }
-    while (!token.empty() && token.back() == ' ') {
-      token.remove_suffix(1);
-    }
-    if (EqualNoCase(token, aName)) {
-      return true;
-    }
-    rest.remove_prefix(comma == std::string_view::npos ? rest.size()
-                                                       : comma + 1);
-  }
-  return false;
-}
-
 } // namespace
 
-std::string
-RequestEngine::SerializeRequest(TimePoint aNow,
-                                const Transaction& aTransaction,
-                                const Endpoint& aEndpoint) const
-{
-  const auto& head = aTransaction.m_head;
-  std::string text = head.m_method + " " + head.m_target + " HTTP/1.1\r\n";
-  const auto* connection = FindHeader(head.m_headers, "Connection");
-  for (const auto& header : head.m_headers) {
-    if (!IsHopHeader(header.m_name) &&
-        !EqualNoCase(header.m_name, m_protocol.m_deadlineHeader) &&
-        !EqualNoCase(header.m_name, m_protocol.m_expectHeader) &&
-        !IsNamedByConnection(connection, header.m_name)) {
-      AppendHeader(text, header.m_name, header.m_value);
-    }
-  }
-  const auto left =
-    std::chrono::duration_cast<Millis>(aTransaction.m_callerDeadline - aNow);
-  AppendHeader(text,
-               m_protocol.m_deadlineHeader,
-               std::to_string(std::max<Millis::rep>(left.count(), 1)));
-  AppendHeader(
-    text, m_protocol.m_expectHeader, aEndpoint.m_record.m_life.m_name);
-  if (head.m_bodySize) {
-    AppendHeader(text, "Content-Length", std::to_string(*head.m_bodySize));
-  } else if (head.m_hasBody) {
-    AppendHeader(text, "Transfer-Encoding", "chunked");
-  }
-  text += "\r\n";
-  return text;
-}
-
-void
-RequestEngine::SendTo(TimePoint aNow,
-                      const TransactionPtr& aTransaction,
-                      Endpoint& aEndpoint)
-{
-  auto& transaction = *aTransaction;
-  std::shared_ptr<UpstreamConnection> connection;
-  while (!connection && !aEndpoint.m_idle.empty()) {
-    auto idle = std::move(aEndpoint.m_idle.back());
-    aEndpoint.m_idle.pop_back();
-    if (idle->IsReusable(aNow)) {
-      connection = std::move(idle);
-    } else {
-      m_loop.Retire(std::move(idle));
-    }
-  }
-  if (!connection) {
-    connection = std::make_shared<UpstreamConnection>(
-      m_loop, m_protocol, aEndpoint.m_record.m_address);
-  }
-  transaction.m_turns = aEndpoint.m_load.OnSent(aNow);
-  if (++transaction.m_sends == 1) {
-    m_metrics.m_waitTimes.Observe(aNow - transaction.m_arrivedAt);
-  }
-  transaction.m_tried.insert(aEndpoint.m_record.m_life.m_name);
-  transaction.m_sentAt = aNow;
-  transaction.m_sentTo = aEndpoint.m_record.m_life.m_name;
-  transaction.m_upstream = connection;
-  UpstreamEvents events;
-  events.m_onAnswer = [this, aTransaction](const ResponseHead& aHead,
-                                           std::string_view aBody) {
-    OnAnswer(aTransaction, aHead, aBody);
-  };
-  events.m_onBegin = [aTransaction](const ResponseHead& aHead) {
-    if (aTransaction->m_sink != nullptr) {
-      aTransaction->m_answering = true;
-      aTransaction->m_sink->BeginAnswer(aHead);
-    }
-  };
-  events.m_onPiece = [aTransaction](std::string_view aPiece) {
-    if (aTransaction->m_sink != nullptr) {
-      aTransaction->m_sink->AnswerPiece(aPiece);
-    }
-  };
-  events.m_onEnd = [this, aTransaction] { OnAnswer(aTransaction, {}, {}); };
-  events.m_onFault = [this, aTransaction](UpstreamFault aFault) {
-    OnFault(aTransaction, aFault);
-  };
-  const bool hasBody = transaction.m_head.m_hasBody;
-  connection->Send(transaction,
-                   SerializeRequest(aNow, transaction, aEndpoint),
-                   hasBody,
-                   std::move(events));
-  if (hasBody) {
-    connection->SendBody(transaction.m_body,
-                         !transaction.m_head.m_bodySize.has_value(),
-                         transaction.m_bodyComplete);
-  }
-}
-
-void
-RequestEngine::OnRequestBody(const TransactionPtr& aTransaction,
-                             std::string_view aPiece)
-{
-  auto& transaction = *aTransaction;
-  if (transaction.m_done) {
-    return;
-  }
-  if (transaction.m_upstream && transaction.m_head.m_hasBody) {
-    transaction.m_upstream->SendBody(aPiece,
-                                     !transaction.m_head.m_bodySize.has_value(),
-                                     transaction.m_bodyComplete);
-  }
-  if (!transaction.m_bodyKept) {
-    return;
-  }
-  if (transaction.m_body.size() + aPiece.size() <= kKeptBody) {
-    transaction.m_body.append(aPiece);
-    return;
-  }
-  if (!transaction.m_upstream) {
-    Refuse(
-      aTransaction, "body too large to wait for an endpoint", kLeastRetryAfter);
-    return;
-  }
-  transaction.m_bodyKept = false;
-  transaction.m_body = {};
-}
-
-void
-RequestEngine::ReturnConnection(const TransactionPtr& aTransaction)
-{
-  auto connection = std::exchange(aTransaction->m_upstream, nullptr);
-  if (!connection) {
-    return;
-  }
-  const auto found = m_endpoints.find(aTransaction->m_sentTo);
-  if (found != m_endpoints.end() && found->second->m_idle.size() < kMaxIdle &&
-      connection->IsReusable(BootClock::now())) {
-    found->second->m_idle.push_back(std::move(connection));
-  } else {
-    m_loop.Retire(std::move(connection));
-  }
-}
-
 void
 RequestEngine::EndAttempt(TimePoint aNow,
                           const TransactionPtr& aTransaction,
@@ -246,6 +79,9 @@
   } else if (aHead.m_status >= kServerError) {
     end = AttemptEnd::Failed;
   }
+  if (end == AttemptEnd::Misdirected || end == AttemptEnd::NotRun) {
+    aTransaction->m_refusedOn.push_back(aTransaction->m_upstream);
+  }
   EndAttempt(BootClock::now(), aTransaction, end);
   TakeNextStep(aTransaction, end, &aHead, aBody);
   Pump();
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -213,6 +213,10 @@
   [[nodiscard]] Endpoint* HolderOf(const Transaction& aTransaction);
   void Enqueue(const TransactionPtr& aTransaction);
   void Dequeue(const TransactionPtr& aTransaction);
+  std::shared_ptr<UpstreamConnection> ConnectionFor(
+    TimePoint aNow,
+    const Transaction& aTransaction,
+    Endpoint& aEndpoint);
   void SendTo(TimePoint aNow,
               const TransactionPtr& aTransaction,
               Endpoint& aEndpoint);
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sapphirehook {
 
@@ -84,6 +85,9 @@
   std::string m_sentTo;
 
   std::shared_ptr<UpstreamConnection> m_upstream;
+  /** Connections on which it was refused. The refusal may be written there once
+      more, and would name this request again. */
+  std::vector<std::weak_ptr<UpstreamConnection>> m_refusedOn;
   std::unique_ptr<Timer> m_timer;
   /** Null once the caller has left. */
   AnswerSink* m_sink = nullptr;
--- a/src/sapphirehook/gateway/upstream_connection.cpp
+++ b/src/sapphirehook/gateway/upstream_connection.cpp
@@ -56,6 +56,7 @@
   m_busy = true;
   m_bodyFollows = aBodyFollows;
   m_foreign = false;
+  m_unclear = false;
   m_streaming = false;
   m_body.clear();
   m_head = {};
@@ -121,10 +122,11 @@
     head.m_status == kMisdirected ||
     FindHeader(head.m_headers, m_protocol.m_notRunHeader) != nullptr;
   constexpr int kFirstFinal = 200;
-  // An endpoint that did not run a request need not name it.
-  m_foreign =
-    head.m_status < kFirstFinal ||
-    (id != nullptr ? *id != m_attemptId : !isNotRun && !m_attemptId.empty());
+  const bool isFinal = head.m_status >= kFirstFinal;
+  const bool mayBeUnnamed = isNotRun || m_attemptId.empty();
+  m_foreign = !isFinal || (id != nullptr ? *id != m_attemptId : !mayBeUnnamed);
+  m_unclear = isFinal && id == nullptr && isNotRun && m_hasAnswered;
+  m_hasAnswered = m_hasAnswered || isFinal;
   if (!m_foreign) {
     m_head = head;
     m_idleLimit = kIdleLimit;
@@ -186,7 +188,7 @@
   }
   while (m_busy && !aBytes.empty()) {
     aBytes.remove_prefix(m_parser.Feed(aBytes));
-    if (m_parser.Fault() != ParseFault::None) {
+    if (m_parser.Fault() != ParseFault::None || m_unclear) {
       Fail(m_streaming ? UpstreamFault::Cut : UpstreamFault::Garbled);
       return;
     }
--- a/src/sapphirehook/gateway/upstream_connection.hpp
+++ b/src/sapphirehook/gateway/upstream_connection.hpp
@@ -41,7 +41,8 @@
 
 /** A connection to an endpoint that carries one request at a time. Answers
     are matched by the request's id, so that a late second answer to an earlier
-    request is dropped. */
+    request is dropped. A refusal without an id counts only as the first answer
+    on its connection: behind others it may be one of an earlier request. */
 class UpstreamConnection
   : public std::enable_shared_from_this<UpstreamConnection>
 {
@@ -95,6 +96,10 @@
   bool m_busy = false;
   bool m_requestSent = false;
   bool m_foreign = false;
+  /** Nobody can tell which request the answer belongs to. */
+  bool m_unclear = false;
+  /** An answer has come on this connection before. */
+  bool m_hasAnswered = false;
   bool m_bodyFollows = false;
   bool m_streaming = false;
   bool m_reusable = true;
--- a/src/sapphirehook/http1/client.hpp
+++ b/src/sapphirehook/http1/client.hpp
@@ -82,6 +82,15 @@
   /** Opens a connection ahead of the next call, unless there is one. */
   void Connect();
 
+  /** Closes the connection unless a call is under way; the next call opens
+      another. */
+  void Close()
+  {
+    if (!m_busy) {
+      CloseConnection();
+    }
+  }
+
   /** Gives the call under way up, without a call to its handler, and closes
       the connection. */
   void Abort();
--- a/test/sapphirehook/gateway/endpoint_orders.cpp
+++ b/test/sapphirehook/gateway/endpoint_orders.cpp
@@ -39,7 +39,9 @@
                { [this](std::uint64_t, const OrderAnswer& aAnswer) {
                   m_ends.push_back(aAnswer.m_end);
                 },
-                 nullptr,
+                 [this](std::uint64_t, const OrderAnswer& aAnswer) {
+                   m_releases.push_back(aAnswer.m_end);
+                 },
                  [this] { ++m_newConnections; } })
   {
     REQUIRE(m_server.Listen(m_address));
@@ -89,6 +91,7 @@
   EndpointOrders m_orders;
   std::uint64_t m_id = 0;
   std::vector<OrderEnd> m_ends;
+  std::vector<OrderEnd> m_releases;
   unsigned m_newConnections = 0;
 };
 
@@ -197,3 +200,20 @@
   CHECK(bed.m_ends.back() == OrderEnd::NoAnswer);
   CHECK(sent > 3);
 }
+
+// Keys go to another endpoint once a release is answered, and an answer that is
+// written once more names no order.
+TEST_CASE("a release goes over a connection on which nothing was answered",
+          "[gateway]")
+{
+  Bed bed;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    bed.m_orders.Release({ id, "e", { { 0, 9 }, id } });
+    REQUIRE(support::RunUntil(
+      bed.m_loop, [&] { return bed.m_releases.size() == id; }, Millis(500)));
+    CHECK(support::RunUntil(
+      bed.m_loop,
+      [&] { return bed.m_server.Connections() == 0; },
+      Millis(500)));
+  }
+}
