Later leaders go by signs of an earlier one's end, whenever they come

Each claim worked out once when earlier grants end, by what it had heard until then; another run on the earlier leader's host, or its own word that it leads no more, came a moment later and did not count. What is left of a wait was stored as a number without names, so that each leader counted it anew and none could end it by a sign.

Change: EarlierGrants keeps, by leader and term, when its grants have run out at the latest; another run on its host, a beat in which it does not lead though it knows the term, and resignations lower that at any time, and the keeper's ranges with it. Records name the leaders. A leader that another supersedes steps down in the handler that learns it, and gives up its orders on their connections, so that what its next beat says holds.

Ruled out: a shorter authority, which must outlast outages of the store.

--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -183,11 +183,7 @@
   m_claimTerm = m_leadership.HighestTerm() + 1;
   Leadership after = m_leadership;
   after.OnClaimed(BootClock::now(), m_claimTerm);
-  const auto earlier = std::chrono::duration_cast<Millis>(
-    after.ForeignGrantsEnd() - BootClock::now());
-  const LeaderRecord record{
-    m_claimTerm, m_gossip.Self(), 0, std::max<std::int64_t>(earlier.count(), 0)
-  };
+  const auto record = after.RecordFor(BootClock::now(), m_claimTerm, 0);
   m_writer.Call(m_protocol.m_store.m_append(
                   kTopic, aEnd, { { 0, kLeaderKey, Pack(record) } }),
                 kStoreTimeout,
@@ -276,7 +272,8 @@
     return;
   }
   const TimePoint now = BootClock::now();
-  TimePoint ends = m_leadership.ForeignGrantsEnd();
+  // The record names those of earlier leaders.
+  TimePoint ends = now;
   for (const auto& [name, led] : m_led) {
     ends = std::max(ends, led.m_keeper.AllGrantsEnd(now));
   }
@@ -309,6 +306,7 @@
     m_loop.Retire(std::shared_ptr<TopicReader>(std::move(m_reader)));
   }
   for (auto& [name, orders] : m_orders) {
+    orders->GiveUp(); // what has not arrived yet must never do so
     m_loop.Retire(std::shared_ptr<EndpointOrders>(std::move(orders)));
   }
   m_orders.clear();
@@ -376,6 +374,10 @@
       beat->m_resignedTerm,
       now + Millis(std::max<std::int64_t>(beat->m_resignedEndsInMs, 0)));
     OnLeaderBeat(aFrom, *beat);
+    if (m_reader && !m_leadership.Leads()) {
+      // Others go by the next beat, which says that no order follows.
+      StepDown("another daemon leads");
+    }
   } else if (const auto* report = std::get_if<KeyReport>(&aMessage)) {
     const auto led = m_led.find(report->m_service);
     if (led != m_led.end()) {
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -189,6 +189,7 @@
   }
   for (auto& [name, led] : m_led) {
     led.m_keeper.SetProvenAt(m_leadership.ProvenAt());
+    led.m_keeper.SetForeignEnds(now, m_leadership.ForeignGrantsEnd());
     if (all) {
       led.m_keeper.SetEndpoints(KeeperEndpoints(now, name));
       CarryOut(now, name, led, led.m_keeper.Tick(now));
@@ -289,15 +290,10 @@
   }
   m_appendBusy = true;
   ++m_sequence;
-  const auto earlier =
-    std::chrono::duration_cast<Millis>(m_leadership.ForeignGrantsEnd() - now);
   m_appending.push_back(
     { 0,
       kLeaderKey,
-      Pack(LeaderRecord{ m_claimTerm,
-                         m_gossip.Self(),
-                         m_sequence,
-                         std::max<std::int64_t>(earlier.count(), 0) }) });
+      Pack(m_leadership.RecordFor(now, m_claimTerm, m_sequence)) });
   Append();
 }
 
--- a/src/sapphirehook/keys/fwd.hpp
+++ b/src/sapphirehook/keys/fwd.hpp
@@ -9,6 +9,8 @@
 struct GrantOrder;
 struct ReleaseOrder;
 struct OrderAnswer;
+struct EarlierLeader;
+class EarlierGrants;
 class RangeMap;
 class RangeKeeper;
 class HotKeyCounter;
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -65,6 +65,7 @@
   , m_leaderHeardAt(aNow)
   , m_startedAt(aNow)
   , m_idleSince(aNow)
+  , m_earlier(HoldEnd())
 {
 }
 
@@ -76,8 +77,16 @@
     return;
   }
   if (aRecord != m_record) {
-    // Counted from the reading, which is later than the append.
-    m_earlierEnds = aNow + Millis(aRecord.m_earlierGrantsMs);
+    m_earlier.AddStored(aNow, aRecord.m_earlier);
+    if (aRecord.m_earlier.empty() && aRecord.m_earlierGrantsMs > 0) {
+      m_earlier.AddStored(aNow, { { {}, 0, aRecord.m_earlierGrantsMs } });
+    }
+    for (const auto& leader : aRecord.m_earlier) {
+      if (leader.m_leader.m_host == m_self.m_host && !m_leads) {
+        // This run or an earlier one here; it is not heard of as others are.
+        m_earlier.Add(leader.m_leader, leader.m_term, m_idleSince + HoldEnd());
+      }
+    }
   }
   const bool isFresh =
     m_term != 0 ||
@@ -129,10 +138,7 @@
     m_idleSince = aNow;
   }
   m_term = std::max(m_term, aTerm);
-  auto& run = m_runs[aFrom.m_host];
-  if (aFrom.m_incarnation > run.m_incarnation) {
-    run = { aFrom.m_incarnation, aNow };
-  }
+  m_earlier.OnBeat(aNow, aFrom, aTerm, aLeads);
 }
 
 void
@@ -146,6 +152,7 @@
     m_vacantSince = aNow;
     m_resignedTerm = aTerm;
     m_resignedEnds = aNow + aEnds;
+    m_earlier.OnTold(aTerm, m_resignedEnds);
   }
 }
 
@@ -297,6 +304,7 @@
   if (aTerm > m_resignedTerm) {
     m_resignedTerm = aTerm;
     m_resignedEnds = aEnds;
+    m_earlier.OnTold(aTerm, aEnds);
   }
 }
 
@@ -334,9 +342,8 @@
   if (leader.m_host == m_self.m_host) {
     return leader.m_incarnation < m_self.m_incarnation;
   }
-  const auto run = m_runs.find(leader.m_host);
-  return run != m_runs.end() &&
-         run->second.m_incarnation > leader.m_incarnation;
+  const auto* run = m_earlier.RunOn(leader.m_host);
+  return run != nullptr && run->m_incarnation > leader.m_incarnation;
 }
 
 /** Whether another daemon has had an answer of the store just now; one whose
@@ -386,41 +393,31 @@
          std::any_of(
            m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
              const auto& [host, candidate] = aOne;
-             const auto run = m_runs.find(host);
+             const auto* run = m_earlier.RunOn(host);
              return candidate.m_processorShare >=
                       m_processorShare * kMuchLarger &&
-                    CouldLead(aNow, candidate) && run != m_runs.end() &&
-                    aNow >= run->second.m_seenAt + kLeadsAtLeast;
+                    CouldLead(aNow, candidate) && run != nullptr &&
+                    aNow >= run->m_seenAt + kLeadsAtLeast;
            });
 }
 
-/** When the grants of the recorded leader have run out. Without a sign that it
-    has ended, it may act until its authority ends, and its last grant lasts
+/** When the grants of the recorded leader have run out, unless a sign of its
+    end is found: it may act until its authority ends, and its last grant lasts
     from then on. */
 TimePoint
 Leadership::PredecessorEnds(TimePoint aNow) const
 {
-  const auto& leader = m_record.m_leader;
-  if (m_record.m_term == 0) {
-    return {};
-  }
-  if (leader.m_host == m_self.m_host) {
-    return m_idleSince + HoldEnd(); // this run or an earlier one on this host
-  }
-  if (m_resignedTerm == m_record.m_term) {
-    return m_resignedEnds;
-  }
-  const auto run = m_runs.find(leader.m_host);
-  if (run != m_runs.end() && run->second.m_incarnation > leader.m_incarnation) {
-    return run->second.m_seenAt + HoldEnd();
-  }
-  return aNow + m_times.m_authority + HoldEnd();
+  const bool isOwn = m_record.m_leader.m_host == m_self.m_host;
+  return isOwn ? m_idleSince + HoldEnd() // this run or an earlier one here
+               : aNow + m_times.m_authority + HoldEnd();
 }
 
 void
 Leadership::OnClaimed(TimePoint aNow, Term aTerm)
 {
-  m_foreignEnds = std::max(PredecessorEnds(aNow), m_earlierEnds);
+  if (m_record.m_term != 0) {
+    m_earlier.Add(m_record.m_leader, m_record.m_term, PredecessorEnds(aNow));
+  }
   m_leads = true;
   m_ledSince = aNow;
   m_term = std::max(m_term, aTerm);
@@ -429,6 +426,18 @@
   m_resignedAt = {};
 }
 
+LeaderRecord
+Leadership::RecordFor(TimePoint aNow, Term aTerm, std::uint64_t aSequence) const
+{
+  LeaderRecord record{ aTerm, m_self, aSequence, 0 };
+  record.m_earlier = m_earlier.Left(aNow);
+  for (const auto& leader : record.m_earlier) {
+    record.m_earlierGrantsMs =
+      std::max(record.m_earlierGrantsMs, leader.m_endsInMs);
+  }
+  return record;
+}
+
 void
 Leadership::OnProof(TimePoint aProvenAt) noexcept
 {
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -3,6 +3,7 @@
 
 #include "sapphirehook/core/ids.hpp"
 #include "sapphirehook/core/time.hpp"
+#include "sapphirehook/keys/earlier_grants.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -25,8 +26,14 @@
   /** Grants of still earlier leaders may last this long after the append, in
       milliseconds. */
   std::int64_t m_earlierGrantsMs = 0;
-
-  MSGPACK_DEFINE_ARRAY(m_term, m_leader, m_sequence, m_earlierGrantsMs)
+  /** The same by leader; daemons of earlier versions write none. */
+  std::vector<EarlierLeader> m_earlier = {};
+
+  MSGPACK_DEFINE_ARRAY(m_term,
+                       m_leader,
+                       m_sequence,
+                       m_earlierGrantsMs,
+                       m_earlier)
   auto operator<=>(const LeaderRecord&) const = default;
 };
 
@@ -151,12 +158,19 @@
     return m_leads && aNow < m_provenAt + m_times.m_authority;
   }
 
-  /** When all grants of earlier leaders have run out. */
+  /** When all grants of earlier leaders have run out. It may come earlier, as
+      signs of their end are found. */
   [[nodiscard]] TimePoint ForeignGrantsEnd() const noexcept
   {
-    return m_foreignEnds;
+    return m_earlier.End();
   }
 
+  /** Returns this leader's record as it is to be stored after a claim of a
+      term, or with a change. */
+  [[nodiscard]] LeaderRecord RecordFor(TimePoint aNow,
+                                       Term aTerm,
+                                       std::uint64_t aSequence) const;
+
   /** Last time at which the store proved that no later leader has claimed. */
   [[nodiscard]] TimePoint ProvenAt() const noexcept { return m_provenAt; }
 
@@ -210,22 +224,13 @@
   bool m_leads = false;
   TimePoint m_ledSince{};
   TimePoint m_provenAt{};
-  TimePoint m_foreignEnds{};
   TimePoint m_startedAt;
   /** When this daemon started, or last stopped to lead. */
   TimePoint m_idleSince;
-  /** The latest run that was heard of on each host, and since when. */
-  struct Run
-  {
-    std::uint64_t m_incarnation = 0;
-    TimePoint m_seenAt{};
-  };
-  std::map<std::string, Run> m_runs;
+  EarlierGrants m_earlier;
   /** The last leader that stepped down in an orderly way. */
   Term m_resignedTerm = 0;
   TimePoint m_resignedEnds{};
-  /** When the grants of the recorded leader's predecessors have run out. */
-  TimePoint m_earlierEnds{};
   TimePoint m_resignedAt{};
   /** Since when another daemon has reached the store and this leader not. */
   TimePoint m_othersReachSince{};
--- a/src/sapphirehook/keys/range_keeper.hpp
+++ b/src/sapphirehook/keys/range_keeper.hpp
@@ -151,6 +151,10 @@
       leader may have granted them with higher fences to the life before. */
   void OnNewConnection(TimePoint aNow, const std::string& aEndpoint);
 
+  /** The grants of earlier leaders have run out by an earlier time than was
+      thought. */
+  void SetForeignEnds(TimePoint aNow, TimePoint aEnds);
+
   /** The store proved at a time that no later leader has claimed. */
   void SetProvenAt(TimePoint aProvenAt) noexcept { m_provenAt = aProvenAt; }
 
--- a/src/sapphirehook/keys/range_keeper_impl.hpp
+++ b/src/sapphirehook/keys/range_keeper_impl.hpp
@@ -47,6 +47,23 @@
   m_ranges.insert_or_assign(range.m_range.m_first, range);
 }
 
+template<typename Rules>
+void
+BasicRangeKeeper<Rules>::SetForeignEnds(TimePoint aNow, TimePoint aEnds)
+{
+  if (aEnds >= m_foreignEnds) {
+    return;
+  }
+  m_foreignEnds = aEnds;
+  // Own grants last no longer than this; a range may have both.
+  const TimePoint ends =
+    std::max(aEnds, aNow + WithDrift(m_times.m_hold, m_times.m_driftPpm));
+  for (auto& [first, range] : m_ranges) {
+    range.m_holdEnds = std::min(range.m_holdEnds, ends);
+    range.m_unansweredEnds = std::min(range.m_unansweredEnds, ends);
+  }
+}
+
 template<typename Rules>
 void
 BasicRangeKeeper<Rules>::SetEndpoints(
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -367,3 +367,38 @@
   leadership.SetHeirs({ "x", "b" });
   CHECK(leadership.ReadingPlace(At(1900)) == std::optional<std::size_t>(1));
 }
+
+// Soak seed 529: a leader waited 19.5 s for the grants of its own earlier run.
+TEST_CASE("a leader does not wait for runs that have ended on its own host",
+          "[keys]")
+{
+  const LeadershipTimes times;
+  const auto hold =
+    times.m_orderLasts + WithDrift(times.m_hold, times.m_driftPpm);
+  auto leadership = Follower();
+  LeaderRecord record{ 2, kOther, 0, 19'000 };
+  record.m_earlier = { { { "b", 9 }, 1, 19'000 } };
+  leadership.OnRecord(At(1500), record);
+  leadership.OnBeat(
+    At(1600), { "a", 21 }, 0, false, { true, At(1600), false, {}, 0.2 });
+  leadership.OnClaimed(At(3000), 3);
+  CHECK(leadership.ForeignGrantsEnd() == At(1600) + hold);
+}
+
+TEST_CASE(
+  "a leader that is superseded is known to have stopped once it says so",
+  "[keys]")
+{
+  const LeadershipTimes times;
+  const auto hold =
+    times.m_orderLasts + WithDrift(times.m_hold, times.m_driftPpm);
+  auto leadership = Follower();
+  leadership.OnRecord(At(1500), { 1, kOther, 0, 0 });
+  leadership.OnClaimed(At(2300), 2);
+  CHECK(leadership.ForeignGrantsEnd() == At(2300) + times.m_authority + hold);
+  CHECK(leadership.RecordFor(At(2300), 2, 0).m_earlier.size() == 1);
+  leadership.OnBeat(
+    At(2500), kOther, 2, false, { true, At(2500), false, {}, 0.2 });
+  CHECK(leadership.ForeignGrantsEnd() == At(2500) + hold);
+  CHECK(leadership.RecordFor(At(2500) + hold, 2, 1).m_earlier.empty());
+}
--- a/test/sapphirehook/keys/range_keeper.cpp
+++ b/test/sapphirehook/keys/range_keeper.cpp
@@ -734,3 +734,40 @@
   play(now + Millis(1500));
   CHECK_FALSE(isReady());
 }
+
+TEST_CASE(
+  "keys of a lost holder move once earlier leaders' grants have run out",
+  "[keys]")
+{
+  constexpr TimePoint kStart{ std::chrono::seconds(100) };
+  RangeKeeper keeper(KeeperTimes{}, 1, kStart + Millis(19'500));
+  keeper.Load({ { 0, kKeyCount - 1 }, { "gone", 1 }, 1 }, kStart);
+  keeper.SetProvenAt(kStart);
+  keeper.SetEndpoints({ { { "other", 1 }, true, false, false, 1.0 } });
+  const auto tick = [&](Millis aAfter) {
+    const TimePoint now = kStart + aAfter;
+    const auto actions = keeper.Tick(now);
+    // Nobody is there to take an order.
+    for (const auto& grant : actions.m_grants) {
+      keeper.OnGrantEnd(now, grant.m_id, { OrderEnd::NotSent, "" });
+    }
+    for (const auto& release : actions.m_releases) {
+      keeper.OnReleaseEnd(now, release.m_id, { OrderEnd::NotSent, "" });
+    }
+    return keeper.HasToStore();
+  };
+  tick(Millis(0));
+  CHECK_FALSE(tick(Millis(5000)));
+  SECTION("without a sign, after their authority")
+  {
+    CHECK_FALSE(tick(Millis(19'400)));
+    CHECK(tick(Millis(19'500)));
+  }
+  SECTION("or when a sign of their end has been found")
+  {
+    keeper.SetForeignEnds(kStart + Millis(5000), kStart + Millis(6000));
+    CHECK_FALSE(tick(Millis(5900)));
+    // An own grant to it might have lasted until then.
+    CHECK(tick(Millis(9100)));
+  }
+}
