Requests of one connection are in progress at once, answered in order

A daemon that stopped could drop the rest of an answer that its caller had not read yet, and took a request whose head came in late in the grace period although its answer might not come in time.

Cause: CallerConnection read one request at a time and buffered the ones behind it. CloseIfIdle counted a connection as idle once its answer was written to the send buffer. The time that a request waited in the buffer did not count against its deadline, so endpoints were told more time than was left.

Ruled out: dispatching never-repeat requests early too. If an answer in front closes the connection they count as not read, and are sent again.

Change: AnswerSequence (module pipeline, no input or output) orders answers and decides what may be passed on: idempotent requests without a body as they arrive, up to 16 and 128 KB of held answers a connection and 512 KB a daemon; all others when every answer in front is written and none closes. CallerConnection keeps what is behind unread, with the time at which it arrived. An answer that breaks off behind others becomes a 502 in its place; one of which a part is written closes the connection by its framing, or by a reset if only the close delimits it. An answer in pieces pauses its endpoint while the caller reads slowly. While stopping, only the last answer closes; connections that are established are accepted before the listening socket closes; a request that arrives after the balancer's time and may outlast the stop is refused as not run; a connection counts as busy until its answers are sent.

Why it works: the answers of independent lookups need the same order on the wire, not the same order of work.

--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -1,59 +1,138 @@
 #include "sapphirehook/gateway/caller_connection.hpp"
 
-#include <http_parser.h>
 #include <utility>
 
 namespace sapphirehook {
 
 namespace {
 
-/** Maximum bytes of pipelined requests that are buffered while a request is in
-    progress. Above this, the connection stops reading. */
+/** Maximum bytes of requests that are buffered until they may be read. Above
+    this, the connection stops receiving. */
 constexpr std::size_t kMaxBacklog = 65'536;
 /** Maximum time that written bytes stay unacknowledged before the caller counts
     as disconnected. */
 constexpr Millis kAcknowledgeTimeout{ 8000 };
-/** Maximum unsent bytes of an answer to a caller that reads slowly. Above this,
-    the answer is aborted. */
-constexpr std::size_t kMaxUnsent = std::size_t{ 4 } << 20U;
+/** Unsent bytes of answers above which an answer that arrives in pieces is
+    paused and no further request is read. */
+constexpr std::size_t kMaxUnsent = 262'144;
 
 constexpr int kBadRequest = 400;
 constexpr int kTimeout = 408;
 constexpr int kTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
+constexpr int kBadGateway = 502;
 
-const char*
-ReasonOf(int aStatus)
+ResponseHead
+TextHead(int aStatus)
 {
-  switch (aStatus) {
-#define SAPPHIREHOOK_REASON(aNumber, aName, aText)                             \
-  case aNumber:                                                                \
-    return #aText;
-    HTTP_STATUS_MAP(SAPPHIREHOOK_REASON)
-#undef SAPPHIREHOOK_REASON
-    default:
-      return "Unknown";
-  }
+  ResponseHead head;
+  head.m_status = aStatus;
+  head.m_headers.push_back({ "Content-Type", "text/plain" });
+  return head;
+}
+
+bool
+ExpectsContinue(const RequestHead& aHead)
+{
+  const auto* expect = FindHeader(aHead.m_headers, "Expect");
+  return expect != nullptr && EqualNoCase(*expect, "100-continue");
 }
 
 } // namespace
 
-CallerConnection::CallerConnection(EventLoop& aLoop, CallerEvents& aEvents)
+/** A request in progress. Receives its answer. */
+class CallerConnection::Exchange : public AnswerSink
+{
+public:
+  Exchange(CallerConnection& aConnection, PipelineNumber aNumber)
+    : m_connection(aConnection)
+    , m_number(aNumber)
+  {
+  }
+
+  void Answer(const ResponseHead& aHead, std::string_view aBody) override
+  {
+    OnAnswered();
+    m_connection.m_answers.Answer(m_number, aHead, aBody);
+    m_connection.OnAnswersChanged();
+  }
+
+  void BeginAnswer(const ResponseHead& aHead) override
+  {
+    m_connection.m_answers.Begin(m_number, aHead);
+  }
+
+  void AnswerPiece(std::string_view aPiece) override
+  {
+    if (!aPiece.empty()) {
+      m_connection.m_answers.Piece(m_number, aPiece);
+      m_connection.PauseIfCongested(*this);
+    }
+  }
+
+  void EndAnswer() override
+  {
+    OnAnswered();
+    m_connection.m_answers.End(m_number);
+    m_connection.OnAnswersChanged();
+  }
+
+  void AbortAnswer() override { Fail(TextHead(kBadGateway), "answer cut off"); }
+
+  /** Answers with an error, or truncates an answer that has begun. */
+  void Fail(const ResponseHead& aHead, std::string_view aBody)
+  {
+    OnAnswered();
+    m_connection.m_answers.Abort(m_number, aHead, aBody);
+    m_connection.OnAnswersChanged();
+  }
+
+  [[nodiscard]] PipelineNumber Number() const noexcept { return m_number; }
+
+  /** Null before the request is passed on, and once it has an answer. */
+  TransactionPtr m_transaction;
+  bool m_answered = false;
+  bool m_paused = false;
+  /** Other requests were in progress when it was passed on. */
+  bool m_wasBehind = false;
+  TimePoint m_answeredAt{};
+
+private:
+  void OnAnswered()
+  {
+    m_transaction = nullptr;
+    m_answered = true;
+    m_answeredAt = BootClock::now();
+  }
+
+  CallerConnection& m_connection;
+  PipelineNumber m_number;
+};
+
+CallerConnection::CallerConnection(EventLoop& aLoop,
+                                   CallerEvents& aEvents,
+                                   HeldBytes& aHeld)
   : m_loop(aLoop)
   , m_events(aEvents)
   , m_stream(aLoop,
              StreamEvents{ nullptr,
                            [this](std::string_view aBytes) { OnData(aBytes); },
-                           nullptr,
+                           [this] {
+                             ResumeAnswers();
+                             ScheduleBacklog();
+                           },
                            [this](StreamEnd) { OnEnd(); } })
   , m_parser(HttpMessageType::Request,
              MessageEvents{ [this] { OnHead(); },
                             [this](std::string_view aPiece) { OnBody(aPiece); },
                             [this] { OnRequestComplete(); } })
   , m_timer(aLoop, [this] { OnTimer(); })
+  , m_answers(m_stream, PipelineLimits{}, aHeld)
 {
 }
 
+CallerConnection::~CallerConnection() = default;
+
 void
 CallerConnection::Start(int aSocket)
 {
@@ -62,6 +141,14 @@
   m_timer.Start(m_events.Limits().m_idleTimeout);
 }
 
+bool
+CallerConnection::IsBusy() const noexcept
+{
+  return !m_closed && (m_finishing || !m_answers.IsEmpty() || m_headWaits ||
+                       m_stream.Unsent() > 0 ||
+                       (m_parser.IsInMessage() && !m_parser.IsHeadComplete()));
+}
+
 void
 CallerConnection::CloseIfIdle()
 {
@@ -74,104 +161,181 @@
 CallerConnection::OnData(std::string_view aBytes)
 {
   const auto self = shared_from_this();
-  if (m_requestRead || !m_backlog.empty()) {
-    m_backlog.append(aBytes);
-    if (m_backlog.size() > kMaxBacklog) {
-      m_stream.SetReading(false);
-    }
+  const TimePoint now = BootClock::now();
+  if (m_backlog.empty()) {
+    aBytes.remove_prefix(Parse(aBytes, now));
+  }
+  if (aBytes.empty() || m_readsNothing) {
     return;
   }
-  Parse(aBytes);
+  m_backlog.push_back({ std::string(aBytes), now });
+  m_backlogBytes += aBytes.size();
+  if (m_backlogBytes > kMaxBacklog) {
+    m_stream.SetReading(false);
+  }
 }
 
-void
-CallerConnection::Parse(std::string_view aBytes)
+bool
+CallerConnection::MayParse() const
 {
+  return !m_readsNothing && !m_headWaits &&
+         (m_parser.IsInMessage() ||
+          (m_answers.MayRead() && m_stream.Unsent() <= kMaxUnsent));
+}
+
+std::size_t
+CallerConnection::Parse(std::string_view aBytes, TimePoint aReceivedAt)
+{
+  const auto size = aBytes.size();
   m_parsing = true;
-  if (!m_parser.IsInMessage()) {
-    m_requestStartedAt = BootClock::now();
-    m_timer.Start(m_events.Limits().m_headTimeout);
+  while (!aBytes.empty() && MayParse()) {
+    if (!m_parser.IsInMessage()) {
+      m_timer.Start(m_events.Limits().m_headTimeout);
+    }
+    m_headReceivedAt =
+      m_parser.IsHeadComplete() ? m_headReceivedAt : aReceivedAt;
+    aBytes.remove_prefix(m_parser.Feed(aBytes));
+    if (m_readsNothing) {
+      break;
+    }
+    if (m_parser.Fault() != ParseFault::None) {
+      OnParseFault();
+      break;
+    }
+    if (m_parser.IsComplete()) {
+      m_parser.Resume();
+      m_parser.LimitHead(m_events.Limits().m_headBytes);
+      m_current = nullptr;
+      m_bodyBytes = 0;
+      RestartIdleTimer();
+    }
   }
-  const std::size_t used = m_parser.Feed(aBytes);
   m_parsing = false;
-  if (m_closed || m_finishing) {
-    return;
-  }
-  const auto fault = m_parser.Fault();
-  if (fault != ParseFault::None && !m_answered) {
-    if (m_transaction) {
-      // The body violates the protocol, so the request cannot be completed.
-      m_events.OnCallerDisconnected(std::exchange(m_transaction, nullptr));
+  return m_readsNothing ? size : size - aBytes.size();
+}
+
+void
+CallerConnection::ParseBacklog()
+{
+  while (!m_backlog.empty() && MayParse()) {
+    const auto chunk = std::move(m_backlog.front());
+    m_backlog.pop_front();
+    const auto used = Parse(chunk.m_bytes, chunk.m_receivedAt);
+    m_backlogBytes -= used;
+    if (used < chunk.m_bytes.size()) {
+      m_backlog.push_front({ chunk.m_bytes.substr(used), chunk.m_receivedAt });
     }
-    const bool tooLarge = fault == ParseFault::HeadTooLarge;
-    Refuse(tooLarge ? kHeadTooLarge : kBadRequest,
-           tooLarge ? "request head too large" : "malformed request");
-    return;
   }
-  if (fault != ParseFault::None) {
-    Close();
+  if (m_backlogBytes <= kMaxBacklog && !m_readsNothing) {
+    m_stream.SetReading(true);
+  }
+}
+
+/** Parses the backlog later: the request engine calls this while it handles an
+    answer. */
+void
+CallerConnection::ScheduleBacklog()
+{
+  if (m_backlog.empty() || m_backlogScheduled) {
     return;
   }
-  if (m_requestRead) {
-    m_backlog.append(aBytes.substr(used));
-    if (m_answered) {
-      NextRequest();
+  m_backlogScheduled = true;
+  m_loop.Defer([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->m_backlogScheduled = false;
+      if (self->m_headWaits &&
+          self->m_answers.MayPassOn(self->m_headMayRunEarly)) {
+        self->m_headWaits = false;
+        self->m_parser.Unpause();
+        self->PassOn();
+      }
+      self->ParseBacklog();
     }
-  }
+  });
 }
 
 void
 CallerConnection::OnHead()
 {
-  m_headRead = true;
   m_timer.Stop();
-  auto& head = m_parser.Request();
-  m_closeAfterAnswer = !m_parser.KeepsAlive();
-  m_noBodyAnswer = head.m_method == "HEAD";
+  const auto& head = m_parser.Request();
   if (head.m_bodySize.value_or(0) > m_events.Limits().m_bodyBytes) {
     Refuse(kTooLarge, "request body too large");
     return;
   }
-  const auto* expect = FindHeader(head.m_headers, "Expect");
-  if (expect != nullptr && EqualNoCase(*expect, "100-continue")) {
+  if (!m_answers.IsEmpty()) {
+    m_headMayRunEarly =
+      !head.m_hasBody && !ExpectsContinue(head) && m_events.MayRunEarly(head);
+    if (!m_answers.MayPassOn(m_headMayRunEarly)) {
+      m_headWaits = true;
+      m_parser.Pause();
+      return;
+    }
+  }
+  PassOn();
+}
+
+void
+CallerConnection::PassOn()
+{
+  auto& head = m_parser.Request();
+  const RequestArrival arrival{ m_headReceivedAt, m_answers.Depth() };
+  const auto number = m_answers.Open({ head.m_method == "HEAD",
+                                       m_parser.TakesChunks(),
+                                       !m_parser.KeepsAlive() });
+  const auto exchange = std::make_shared<Exchange>(*this, number);
+  exchange->m_wasBehind = arrival.m_inFront > 0;
+  m_exchanges.push_back(exchange);
+  m_current = exchange;
+  if (ExpectsContinue(head)) {
     m_stream.Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
-  m_transaction = m_events.OnRequest(*this, std::move(head));
+  auto transaction = m_events.OnRequest(*exchange, std::move(head), arrival);
+  if (!exchange->m_answered) {
+    exchange->m_transaction = std::move(transaction);
+  }
 }
 
 void
 CallerConnection::OnBody(std::string_view aPiece)
 {
   m_bodyBytes += aPiece.size();
-  if (m_bodyBytes > m_events.Limits().m_bodyBytes && !m_answered) {
-    if (m_transaction) {
-      m_events.OnCallerDisconnected(std::exchange(m_transaction, nullptr));
-    }
-    Refuse(kTooLarge, "request body too large");
+  if (!m_current || !m_current->m_transaction) {
     return;
   }
-  if (m_transaction) {
-    m_events.OnRequestBody(m_transaction, aPiece);
+  if (m_bodyBytes > m_events.Limits().m_bodyBytes) {
+    Refuse(kTooLarge, "request body too large");
+    return;
   }
+  m_events.OnRequestBody(m_current->m_transaction, aPiece);
 }
 
 void
 CallerConnection::OnRequestComplete()
 {
-  m_requestRead = true;
-  if (m_transaction) {
-    m_transaction->m_bodyComplete = true;
-    m_events.OnRequestBody(m_transaction, {});
+  if (m_current && m_current->m_transaction) {
+    m_current->m_transaction->m_bodyComplete = true;
+    m_events.OnRequestBody(m_current->m_transaction, {});
+  }
+}
+
+void
+CallerConnection::OnParseFault()
+{
+  if (m_parser.IsHeadComplete() && m_current && m_current->m_answered) {
+    // The rest of the body is malformed, and its request has an answer.
+    Close();
+    return;
   }
+  const bool tooLarge = m_parser.Fault() == ParseFault::HeadTooLarge;
+  Refuse(tooLarge ? kHeadTooLarge : kBadRequest,
+         tooLarge ? "request head too large" : "malformed request");
 }
 
 void
 CallerConnection::OnEnd()
 {
   const auto self = shared_from_this();
-  if (m_transaction) {
-    m_events.OnCallerDisconnected(std::exchange(m_transaction, nullptr));
-  }
   Close();
 }
 
@@ -179,150 +343,127 @@
 CallerConnection::OnTimer()
 {
   const auto self = shared_from_this();
-  if (m_parser.IsInMessage() && !m_headRead) {
+  if (!m_readsNothing && m_parser.IsInMessage() && !m_parser.IsHeadComplete()) {
     Refuse(kTimeout, "request head took too long");
   } else if (!IsBusy()) {
     Close();
+  } else {
+    RestartIdleTimer();
   }
 }
 
 void
 CallerConnection::Refuse(int aStatus, std::string_view aReason)
 {
-  m_closeAfterAnswer = true;
-  ResponseHead head;
-  head.m_status = aStatus;
-  head.m_headers.push_back({ "Content-Type", "text/plain" });
-  Answer(head, aReason);
+  auto exchange = m_current;
+  if (!exchange) {
+    exchange =
+      std::make_shared<Exchange>(*this, m_answers.Open({ .m_closes = true }));
+    m_exchanges.push_back(exchange);
+  }
+  m_answers.CloseAfter(exchange->Number());
+  m_readsNothing = true;
+  Disconnect(*exchange);
+  exchange->Fail(TextHead(aStatus), aReason);
 }
 
-std::string
-CallerConnection::SerializeHead(const ResponseHead& aHead, bool aChunked)
+void
+CallerConnection::OnAnswersChanged()
 {
-  std::string text = "HTTP/1.1 " + std::to_string(aHead.m_status) + " " +
-                     ReasonOf(aHead.m_status) + "\r\n";
-  for (const auto& header : aHead.m_headers) {
-    if (!IsHopByHopHeader(header.m_name)) {
-      AppendHeader(text, header.m_name, header.m_value);
-    }
+  const auto self = shared_from_this();
+  RetireWritten();
+  const auto end = m_answers.Ended();
+  if (m_closed || m_finishing) {
+    return;
   }
-  if (aChunked) {
-    AppendHeader(text, "Transfer-Encoding", "chunked");
-  } else if (aHead.m_bodySize) {
-    AppendHeader(text, "Content-Length", std::to_string(*aHead.m_bodySize));
+  if (end == SequenceEnd::Reset) {
+    m_stream.Reset();
+    Close();
+    return;
   }
-  m_closeAfterAnswer = m_closeAfterAnswer || m_events.IsStopping();
-  if (m_closeAfterAnswer) {
-    AppendHeader(text, "Connection", "close");
+  if (end != SequenceEnd::None) {
+    m_finishing = true;
+    m_readsNothing = true;
+    m_timer.Stop();
+    m_backlog.clear();
+    m_stream.CloseAfterWrite();
+    DisconnectAll();
+    return;
   }
-  text += "\r\n";
-  return text;
+  ResumeAnswers();
+  RestartIdleTimer();
+  ScheduleBacklog();
 }
 
+/** Removes the requests whose answers are written. */
 void
-CallerConnection::Answer(const ResponseHead& aHead, std::string_view aBody)
+CallerConnection::RetireWritten()
 {
-  ResponseHead head = aHead;
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  const bool hasNoBody = m_noBodyAnswer || head.m_status == kNoContent ||
-                         head.m_status == kNotModified;
-  if (!hasNoBody) {
-    head.m_bodySize = aBody.size();
-  } else if (!m_noBodyAnswer) {
-    head.m_bodySize.reset();
-  }
-  std::string text = SerializeHead(head, false);
-  if (!hasNoBody) {
-    text.append(aBody);
-  }
-  m_stream.Write(text);
-  FinishAnswer();
+  while (!m_exchanges.empty() &&
+         !m_answers.IsOpen(m_exchanges.front()->Number())) {
+    const auto exchange = std::move(m_exchanges.front());
+    m_exchanges.pop_front();
+    if (exchange->m_wasBehind) {
+      m_events.OnAnswerHeld(BootClock::now() - exchange->m_answeredAt);
+    }
+    m_loop.Retire(exchange);
+  }
 }
 
-void
-CallerConnection::BeginAnswer(const ResponseHead& aHead)
+bool
+CallerConnection::IsCongested(const Exchange& aExchange) const
 {
-  m_chunkedAnswer = !aHead.m_bodySize.has_value();
-  m_stream.Write(SerializeHead(aHead, m_chunkedAnswer));
+  return m_answers.ShouldPause(aExchange.Number()) ||
+         (m_answers.IsFirst(aExchange.Number()) &&
+          m_stream.Unsent() > kMaxUnsent);
 }
 
 void
-CallerConnection::AnswerPiece(std::string_view aPiece)
+CallerConnection::PauseIfCongested(Exchange& aExchange)
 {
-  if (aPiece.empty()) {
-    return;
-  }
-  if (m_chunkedAnswer) {
-    std::string framed;
-    AppendChunk(framed, aPiece);
-    m_stream.Write(framed);
-  } else {
-    m_stream.Write(aPiece);
-  }
-  if (m_stream.Unsent() > kMaxUnsent) {
-    AbortAnswer(); // the caller reads too slowly
+  if (!aExchange.m_paused && aExchange.m_transaction &&
+      IsCongested(aExchange)) {
+    aExchange.m_paused = true;
+    m_events.PauseAnswer(aExchange.m_transaction, true);
   }
 }
 
 void
-CallerConnection::EndAnswer()
+CallerConnection::ResumeAnswers()
 {
-  if (m_chunkedAnswer) {
-    m_stream.Write(kLastChunk);
+  for (const auto& exchange : m_exchanges) {
+    if (exchange->m_paused && !IsCongested(*exchange)) {
+      exchange->m_paused = false;
+      if (exchange->m_transaction) {
+        m_events.PauseAnswer(exchange->m_transaction, false);
+      }
+    }
   }
-  FinishAnswer();
 }
 
 void
-CallerConnection::AbortAnswer()
+CallerConnection::RestartIdleTimer()
 {
-  const auto self = shared_from_this();
-  if (m_transaction) {
-    m_events.OnCallerDisconnected(std::exchange(m_transaction, nullptr));
+  if (m_answers.IsEmpty() && !m_parser.IsInMessage() && !m_finishing) {
+    m_timer.Start(m_events.Limits().m_idleTimeout);
   }
-  Close();
 }
 
 void
-CallerConnection::FinishAnswer()
+CallerConnection::Disconnect(Exchange& aExchange)
 {
-  const auto self = shared_from_this();
-  m_answered = true;
-  m_transaction = nullptr;
-  if (m_closeAfterAnswer) {
-    m_finishing = true;
-    m_stream.CloseAfterWrite();
-    m_timer.Stop();
-    return;
-  }
-  if (m_requestRead && !m_parsing) {
-    NextRequest();
+  if (aExchange.m_transaction) {
+    m_events.OnCallerDisconnected(
+      std::exchange(aExchange.m_transaction, nullptr));
   }
 }
 
 void
-CallerConnection::NextRequest()
+CallerConnection::DisconnectAll()
 {
-  m_parser.Resume();
-  m_parser.LimitHead(m_events.Limits().m_headBytes);
-  m_headRead = false;
-  m_requestRead = false;
-  m_answered = false;
-  m_bodyBytes = 0;
-  m_stream.SetReading(true);
-  m_timer.Start(m_events.Limits().m_idleTimeout);
-  if (m_backlog.empty()) {
-    return;
+  for (const auto& exchange : m_exchanges) {
+    Disconnect(*exchange);
   }
-  const std::weak_ptr<CallerConnection> self = weak_from_this();
-  m_loop.Defer([self] {
-    const auto connection = self.lock();
-    if (connection && !connection->m_closed && !connection->m_requestRead) {
-      const auto backlog = std::exchange(connection->m_backlog, {});
-      connection->Parse(backlog);
-    }
-  });
 }
 
 void
@@ -332,7 +473,9 @@
     return;
   }
   m_closed = true;
+  m_readsNothing = true;
   m_timer.Stop();
+  DisconnectAll();
   m_stream.Close();
   m_events.OnClosed(*this);
 }
--- a/src/sapphirehook/gateway/caller_connection.hpp
+++ b/src/sapphirehook/gateway/caller_connection.hpp
@@ -4,7 +4,9 @@
 #include "sapphirehook/gateway/transaction.hpp"
 #include "sapphirehook/http1/message_parser.hpp"
 #include "sapphirehook/net/tcp_stream.hpp"
+#include "sapphirehook/pipeline/answer_sequence.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,6 +15,15 @@
 
 class CallerConnection;
 
+/** How a request arrived on its connection. */
+struct RequestArrival
+{
+  /** Time at which its head was received. */
+  TimePoint m_at{};
+  /** Number of requests in front of it that are in progress. */
+  std::size_t m_inFront = 0;
+};
+
 /** Interface that receives the requests from callers' connections. */
 class CallerEvents
 {
@@ -22,67 +33,98 @@
   CallerEvents& operator=(const CallerEvents&) = delete;
   virtual ~CallerEvents() = default;
 
+  /** Returns whether a request may run although the answers in front of it on
+      its connection are not written: if the connection closes before its turn,
+      the caller sends it again. */
+  [[nodiscard]] virtual bool MayRunEarly(const RequestHead& aHead) const = 0;
+
   /** The head of a request is complete. Returns the transaction, or null if the
       request has already been answered through the sink. */
-  virtual TransactionPtr OnRequest(AnswerSink& aSink, RequestHead&& aHead) = 0;
+  virtual TransactionPtr OnRequest(AnswerSink& aSink,
+                                   RequestHead&& aHead,
+                                   const RequestArrival& aArrival) = 0;
 
   /** A piece of the body has arrived. It is empty at the end of the request. */
   virtual void OnRequestBody(const TransactionPtr& aTransaction,
                              std::string_view aPiece) = 0;
 
+  /** Pauses or resumes an answer that arrives in pieces. */
+  virtual void PauseAnswer(const TransactionPtr& aTransaction,
+                           bool aPaused) = 0;
+
   /** The request has ended without a complete answer: the caller has
       disconnected, its request is invalid, or the answer is aborted. */
   virtual void OnCallerDisconnected(const TransactionPtr& aTransaction) = 0;
 
+  /** A complete answer has waited for its turn. */
+  virtual void OnAnswerHeld(std::chrono::nanoseconds aFor) = 0;
+
   /** The connection is closed. */
   virtual void OnClosed(CallerConnection& aConnection) = 0;
 
   [[nodiscard]] virtual const CallerLimits& Limits() const = 0;
-
-  /** Returns whether connections close after the answer in progress. */
-  [[nodiscard]] virtual bool IsStopping() const = 0;
 };
 
-/** Connection from a caller. Processes one request at a time and buffers
-    pipelined requests until the answer is written. */
-class CallerConnection
-  : public AnswerSink
-  , public std::enable_shared_from_this<CallerConnection>
+/** Connection from a caller. Several of its requests may be in progress at
+    once; AnswerSequence decides which, and orders their answers. */
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(EventLoop& aLoop, CallerEvents& aEvents);
+  CallerConnection(EventLoop& aLoop, CallerEvents& aEvents, HeldBytes& aHeld);
+  ~CallerConnection();
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
 
   void Start(int aSocket);
 
+  /** Makes the connection close after the requests that are in progress. */
+  void BeginStop() { m_answers.BeginStop(); }
+
   /** Closes the connection if no request is in progress. */
   void CloseIfIdle();
 
-  /** Returns whether a request has been read, at least in part, and not yet
-      answered. */
-  [[nodiscard]] bool IsBusy() const noexcept
-  {
-    return m_transaction != nullptr ||
-           (m_parser.IsInMessage() && !m_answered && !m_finishing);
-  }
-
-  void Answer(const ResponseHead& aHead, std::string_view aBody) override;
-  void BeginAnswer(const ResponseHead& aHead) override;
-  void AnswerPiece(std::string_view aPiece) override;
-  void EndAnswer() override;
-  void AbortAnswer() override;
+  /** Returns whether a request has been read, at least in part, and its answer
+      has not been sent completely. A connection that is closing is busy until
+      its caller has closed it too: a reset would discard answers that are on
+      their way. */
+  [[nodiscard]] bool IsBusy() const noexcept;
 
 private:
+  class Exchange;
+
+  /** Received bytes that are not parsed yet. */
+  struct Chunk
+  {
+    std::string m_bytes;
+    TimePoint m_receivedAt{};
+  };
+
   void OnData(std::string_view aBytes);
-  void Parse(std::string_view aBytes);
+  /** Parses bytes as far as requests may be read. Returns how many. */
+  std::size_t Parse(std::string_view aBytes, TimePoint aReceivedAt);
+  [[nodiscard]] bool MayParse() const;
+  void ParseBacklog();
+  void ScheduleBacklog();
   void OnHead();
   void OnBody(std::string_view aPiece);
   void OnRequestComplete();
+  void OnParseFault();
+  /** Passes on the request whose head is parsed. */
+  void PassOn();
   void OnEnd();
   void OnTimer();
+  /** Answers the request that is being read, or a new one, with an error and
+      closes the connection after it. */
   void Refuse(int aStatus, std::string_view aReason);
-  std::string SerializeHead(const ResponseHead& aHead, bool aChunked);
-  void FinishAnswer();
-  void NextRequest();
+  /** Updates the connection after its answers have changed. */
+  void OnAnswersChanged();
+  void RetireWritten();
+  [[nodiscard]] bool IsCongested(const Exchange& aExchange) const;
+  void PauseIfCongested(Exchange& aExchange);
+  void ResumeAnswers();
+  void RestartIdleTimer();
+  void Disconnect(Exchange& aExchange);
+  void DisconnectAll();
   void Close();
 
   EventLoop& m_loop;
@@ -90,18 +132,23 @@
   TcpStream m_stream;
   MessageParser m_parser;
   Timer m_timer;
-  std::string m_backlog;
-  TransactionPtr m_transaction;
+  AnswerSequence<TcpStream> m_answers;
+  /** Requests in progress, in order, as m_answers numbers them. */
+  std::deque<std::shared_ptr<Exchange>> m_exchanges;
+  /** The request whose body is being read. */
+  std::shared_ptr<Exchange> m_current;
+  std::deque<Chunk> m_backlog;
+  std::size_t m_backlogBytes = 0;
   std::uint64_t m_bodyBytes = 0;
-  TimePoint m_requestStartedAt{};
-  bool m_headRead = false;
-  bool m_requestRead = false;
-  bool m_answered = false;
-  bool m_closeAfterAnswer = false;
-  bool m_chunkedAnswer = false;
-  bool m_noBodyAnswer = false;
+  TimePoint m_headReceivedAt{};
+  /** A head is parsed, and its request waits until it may be passed on. */
+  bool m_headWaits = false;
+  bool m_headMayRunEarly = false;
   bool m_parsing = false;
-  /** The last answer is being written; the connection closes afterwards. */
+  bool m_backlogScheduled = false;
+  /** A closing answer is queued or sent: what follows counts as not read. */
+  bool m_readsNothing = false;
+  /** The last answer is being sent; the connection closes afterwards. */
   bool m_finishing = false;
   bool m_closed = false;
 };
--- a/src/sapphirehook/gateway/engine_metrics.cpp
+++ b/src/sapphirehook/gateway/engine_metrics.cpp
@@ -31,6 +31,7 @@
   counter("sapphirehook_unrouted_total", aMetrics.m_unrouted);
   counter("sapphirehook_repeats_total", aMetrics.m_retries);
   counter("sapphirehook_callers_gone_total", aMetrics.m_callersGone);
+  counter("sapphirehook_pipelined_total", aMetrics.m_pipelined);
 
   constexpr std::string_view kRequestTimes = "sapphirehook_request_seconds";
   AppendMetricType(aText, kRequestTimes, "histogram");
@@ -42,6 +43,8 @@
   AppendHistogram(aText, "sapphirehook_wait_seconds", aMetrics.m_waitTimes);
   AppendHistogram(
     aText, "sapphirehook_attempt_seconds", aMetrics.m_attemptTimes);
+  AppendHistogram(
+    aText, "sapphirehook_answer_held_seconds", aMetrics.m_heldTimes);
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/engine_metrics.hpp
+++ b/src/sapphirehook/gateway/engine_metrics.hpp
@@ -20,12 +20,18 @@
   std::uint64_t m_unrouted = 0;
   std::uint64_t m_retries = 0;
   std::uint64_t m_callersGone = 0;
+  /** Requests that were passed on while others in front of them on their
+      connection were in progress. */
+  std::uint64_t m_pipelined = 0;
   /** Time from a request's arrival to its end, by kind of request. */
   std::array<LatencyHistogram, kRequestKinds> m_requestTimes;
   /** Time from a request's arrival to its first send. */
   LatencyHistogram m_waitTimes;
   /** Time from a send to the endpoint's answer. */
   LatencyHistogram m_attemptTimes;
+  /** Time for which the complete answers of pipelined requests waited for those
+      in front of them. */
+  LatencyHistogram m_heldTimes;
 };
 
 /** Returns the name of a kind of request in logs and metrics. */
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -427,7 +427,8 @@
   m_log.Write(LogLine("stopping").Add("unanswered", m_engine.Unanswered()),
               LogPriority::State);
   m_ownership.BeginStop();
-  m_engine.BeginStop();
+  m_engine.BeginStop(m_stopBegan + kBalancerRemovalTime,
+                     m_stopBegan + m_settings.m_stopGrace - kStopMargin);
   SendHeartbeat();
   m_stopTimer.StartEvery(kStopTick);
 }
@@ -439,6 +440,7 @@
   if (passed < kBalancerRemovalTime) {
     return;
   }
+  m_callers.AcceptPending(); // closing the socket would reset them
   m_callers.Close();
   m_engine.CloseIdleCallers();
   const bool idle = m_engine.Unanswered() == 0 && !m_ownership.Leads();
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -66,6 +66,10 @@
                "sapphirehook_follows_store",
                "gauge",
                m_configReader.IsPaused() ? 0 : 1);
+  AppendMetric(text,
+               "sapphirehook_held_answer_bytes",
+               "gauge",
+               m_engine.HeldAnswerBytes());
   constexpr std::string_view kAge = "sapphirehook_topic_age_seconds";
   AppendMetricType(text, kAge, "gauge");
   for (const auto& [topic, topicState] : m_topicStates) {
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -129,15 +129,24 @@
 void
 RequestEngine::AcceptCaller(int aSocket)
 {
-  auto connection = std::make_shared<CallerConnection>(m_loop, *this);
+  auto connection =
+    std::make_shared<CallerConnection>(m_loop, *this, m_heldBytes);
+  if (m_stopping) {
+    connection->BeginStop();
+  }
   m_callers.emplace(connection.get(), connection);
   connection->Start(aSocket);
 }
 
 void
-RequestEngine::BeginStop()
+RequestEngine::BeginStop(TimePoint aLastArrival, TimePoint aEnd)
 {
   m_stopping = true;
+  m_lastArrival = aLastArrival;
+  m_stopEnd = aEnd;
+  for (const auto& [raw, connection] : m_callers) {
+    connection->BeginStop();
+  }
 }
 
 void
@@ -174,8 +183,20 @@
   return m_routes ? m_routes->Config().m_limits : m_defaultLimits;
 }
 
+bool
+RequestEngine::MayRunEarly(const RequestHead& aHead) const
+{
+  const auto* host = FindHeader(aHead.m_headers, "Host");
+  const Route* route = m_routes && host != nullptr
+                         ? m_routes->Find(*host, aHead.m_target)
+                         : nullptr;
+  return route != nullptr && route->m_kind == RequestKind::Idempotent;
+}
+
 TransactionPtr
-RequestEngine::OnRequest(AnswerSink& aSink, RequestHead&& aHead)
+RequestEngine::OnRequest(AnswerSink& aSink,
+                         RequestHead&& aHead,
+                         const RequestArrival& aArrival)
 {
   if (!m_routes) {
     AnswerDirectly(aSink, kUnavailable, "no configuration yet", kRouteReadTime);
@@ -202,7 +223,11 @@
   transaction->m_routes = m_routes;
   transaction->m_route = route;
   transaction->m_sink = &aSink;
-  if (!Admit(transaction)) {
+  if (!Admit(transaction, aArrival)) {
+    return nullptr;
+  }
+  if (const auto reason = ReasonToRefuse(BootClock::now(), *transaction)) {
+    Refuse(transaction, *reason, Millis(0));
     return nullptr;
   }
   SendOrEnqueue(transaction);
@@ -210,25 +235,28 @@
 }
 
 bool
-RequestEngine::Admit(const TransactionPtr& aTransaction)
+RequestEngine::Admit(const TransactionPtr& aTransaction,
+                     const RequestArrival& aArrival)
 {
   auto& transaction = *aTransaction;
   const auto& headers = transaction.m_head.m_headers;
   const TimePoint now = BootClock::now();
   ++m_metrics.m_requests;
-  transaction.m_arrivedAt = now;
+  m_metrics.m_pipelined += aArrival.m_inFront > 0 ? 1 : 0;
+  transaction.m_arrivedAt = aArrival.m_at;
+  transaction.m_inFront = aArrival.m_inFront;
   transaction.m_waitStartedAt = now;
   if (const auto* id = FindHeader(headers, m_protocol.m_attemptHeader)) {
     transaction.m_attemptId = *id;
   }
   const auto& route = *transaction.m_route;
-  transaction.m_objectiveAt = now + route.m_objective;
-  transaction.m_deadline = now + route.m_timeout;
+  transaction.m_objectiveAt = aArrival.m_at + route.m_objective;
+  transaction.m_deadline = aArrival.m_at + route.m_timeout;
   transaction.m_callerDeadline = transaction.m_deadline;
   if (const auto* text = FindHeader(headers, m_protocol.m_deadlineHeader)) {
     if (const auto millis = ParseWholeNumber(*text)) {
       transaction.m_callerDeadline =
-        now + Millis(static_cast<Millis::rep>(*millis));
+        aArrival.m_at + Millis(static_cast<Millis::rep>(*millis));
       transaction.m_deadline =
         std::min(transaction.m_deadline, transaction.m_callerDeadline);
     }
@@ -261,6 +289,20 @@
   return true;
 }
 
+std::optional<std::string_view>
+RequestEngine::ReasonToRefuse(TimePoint aNow,
+                              const Transaction& aTransaction) const
+{
+  if (aNow >= aTransaction.m_deadline) {
+    return "deadline passed behind other requests";
+  }
+  if (m_stopping && aNow > m_lastArrival &&
+      aTransaction.m_deadline > m_stopEnd) {
+    return "stopping";
+  }
+  return std::nullopt;
+}
+
 void
 RequestEngine::SendOrEnqueue(const TransactionPtr& aTransaction)
 {
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -15,7 +15,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sapphirehook {
@@ -132,15 +134,24 @@
   /** Takes over an accepted socket of a caller. */
   void AcceptCaller(int aSocket);
 
-  /** Closes each caller connection after its next answer from now on. */
-  void BeginStop();
+  /** Closes each caller connection after the requests that are in progress. A
+      request that arrives after aLastArrival and whose deadline is after aEnd,
+      when the process ends, is refused: its answer might not come in time. */
+  void BeginStop(TimePoint aLastArrival, TimePoint aEnd);
 
   /** Closes the caller connections that have no request in progress. */
   void CloseIdleCallers();
 
-  /** Returns the number of requests without a complete answer. */
+  /** Returns the number of caller connections with a request that is in
+      progress, or with an answer that has not been sent completely. */
   [[nodiscard]] std::size_t Unanswered() const;
 
+  /** Returns the bytes of answers that wait behind others. */
+  [[nodiscard]] std::size_t HeldAnswerBytes() const noexcept
+  {
+    return m_heldBytes.Total();
+  }
+
   [[nodiscard]] const EngineMetrics& Metrics() const noexcept
   {
     return m_metrics;
@@ -159,13 +170,17 @@
   std::function<void(const std::string& aService, Key aKey)> m_onMisdirected;
 
   // CallerEvents
-  TransactionPtr OnRequest(AnswerSink& aSink, RequestHead&& aHead) override;
+  [[nodiscard]] bool MayRunEarly(const RequestHead& aHead) const override;
+  TransactionPtr OnRequest(AnswerSink& aSink,
+                           RequestHead&& aHead,
+                           const RequestArrival& aArrival) override;
   void OnRequestBody(const TransactionPtr& aTransaction,
                      std::string_view aPiece) override;
+  void PauseAnswer(const TransactionPtr& aTransaction, bool aPaused) override;
   void OnCallerDisconnected(const TransactionPtr& aTransaction) override;
+  void OnAnswerHeld(std::chrono::nanoseconds aFor) override;
   void OnClosed(CallerConnection& aConnection) override;
   [[nodiscard]] const CallerLimits& Limits() const override;
-  [[nodiscard]] bool IsStopping() const override { return m_stopping; }
 
 private:
   struct Endpoint
@@ -208,7 +223,13 @@
   static constexpr std::size_t kKeyCounters = 128;
 
   Service& ServiceOf(const std::string& aName);
-  bool Admit(const TransactionPtr& aTransaction);
+  bool Admit(const TransactionPtr& aTransaction,
+             const RequestArrival& aArrival);
+  /** Returns why a request that arrives now cannot be served before its
+      deadline, or nothing. */
+  [[nodiscard]] std::optional<std::string_view> ReasonToRefuse(
+    TimePoint aNow,
+    const Transaction& aTransaction) const;
   /** Sends a request, queues it if no endpoint has capacity, or refuses it if
       the expected wait is too long. */
   void SendOrEnqueue(const TransactionPtr& aTransaction);
@@ -291,7 +312,13 @@
   /** Hash of the last endpoint that FleetUses reported in hash order. */
   std::uint32_t m_lastReportedHash = 0;
   std::size_t m_daemons = 1;
+  /** Bytes of answers that wait behind others. Half a megabyte is small beside
+      the memory of the smallest host. */
+  HeldBytes m_heldBytes{ std::size_t{ 1 } << 19U };
   bool m_stopping = false;
+  /** Set while stopping. */
+  TimePoint m_lastArrival{};
+  TimePoint m_stopEnd{};
   bool m_processingQueues = false;
 };
 
--- a/src/sapphirehook/gateway/request_log.cpp
+++ b/src/sapphirehook/gateway/request_log.cpp
@@ -25,6 +25,7 @@
     .Add("config_newest", m_routes->Config().m_version)
     .Add("service", aTransaction.m_service)
     .Add("took_ms", took)
+    .Add("in_front", aTransaction.m_inFront)
     .Add("sends", aTransaction.m_sends)
     .Add("endpoint", aTransaction.m_sentTo);
   if (aTransaction.m_key) {
--- a/src/sapphirehook/gateway/request_sends.cpp
+++ b/src/sapphirehook/gateway/request_sends.cpp
@@ -185,6 +185,20 @@
   transaction.m_body = {};
 }
 
+void
+RequestEngine::PauseAnswer(const TransactionPtr& aTransaction, bool aPaused)
+{
+  if (aTransaction->m_upstream) {
+    aTransaction->m_upstream->PauseAnswer(aPaused);
+  }
+}
+
+void
+RequestEngine::OnAnswerHeld(std::chrono::nanoseconds aFor)
+{
+  m_metrics.m_heldTimes.Observe(aFor);
+}
+
 void
 RequestEngine::ReturnConnection(const TransactionPtr& aTransaction)
 {
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -35,8 +35,9 @@
   virtual void AnswerPiece(std::string_view aPiece) = 0;
   virtual void EndAnswer() = 0;
 
-  /** Closes the connection, so that the caller cannot mistake a truncated
-      answer for a complete one. */
+  /** The rest of the answer is lost. The caller cannot mistake it for a
+     complete one: the connection closes, or an error takes the answer's place
+     if none of it has been sent. */
   virtual void AbortAnswer() = 0;
 };
 
@@ -59,6 +60,9 @@
   bool m_bodyKept = true;
 
   TimePoint m_arrivedAt{};
+  /** Number of requests in front of it on its connection that were in progress
+      when it was admitted. */
+  std::size_t m_inFront = 0;
   /** End of the route's target latency. */
   TimePoint m_objectiveAt{};
   /** Latest time of the final answer to the caller. */
--- a/src/sapphirehook/gateway/upstream_connection.cpp
+++ b/src/sapphirehook/gateway/upstream_connection.cpp
@@ -213,6 +213,7 @@
 {
   m_busy = false;
   m_idleSince = BootClock::now();
+  m_stream.SetReading(true); // the last piece may have paused the answer
   // An endpoint that answers early still expects the rest of the body.
   m_reusable = m_reusable && aNoExtraBytes && m_parser.KeepsAlive() &&
                m_stream.Unsent() == 0 && !m_bodyFollows;
--- a/src/sapphirehook/gateway/upstream_connection.hpp
+++ b/src/sapphirehook/gateway/upstream_connection.hpp
@@ -65,6 +65,9 @@
   /** Sends a piece of the request's body. */
   void SendBody(std::string_view aPiece, bool aIsChunked, bool aIsLast);
 
+  /** Pauses or resumes the answer that arrives in pieces. */
+  void PauseAnswer(bool aPaused) { m_stream.SetReading(!aPaused); }
+
   /** Abandons the attempt and resets the connection, which makes the endpoint
       drop the request. */
   void Abandon();
--- a/src/sapphirehook/http1/message_parser.cpp
+++ b/src/sapphirehook/http1/message_parser.cpp
@@ -80,7 +80,7 @@
 std::size_t
 MessageParser::Feed(std::string_view aBytes)
 {
-  if (m_fault != ParseFault::None || m_complete || aBytes.empty()) {
+  if (m_fault != ParseFault::None || m_complete || m_paused || aBytes.empty()) {
     return 0;
   }
   const std::size_t used =
@@ -122,6 +122,21 @@
   m_headComplete = false;
   m_complete = false;
   m_isCloseDelimited = false;
+  m_paused = false;
+}
+
+void
+MessageParser::Pause() noexcept
+{
+  m_paused = true;
+  http_parser_pause(&m_parser, 1);
+}
+
+void
+MessageParser::Unpause() noexcept
+{
+  m_paused = false;
+  http_parser_pause(&m_parser, 0);
 }
 
 std::vector<Header>&
@@ -216,6 +231,8 @@
   // Upgrades are not forwarded, so the following bytes are a body.
   m_parser.upgrade = 0;
   m_keepAlive = http_should_keep_alive(&m_parser) != 0;
+  m_takesChunks = m_parser.http_major > 1 ||
+                  (m_parser.http_major == 1 && m_parser.http_minor >= 1);
   const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
   const bool chunked = (m_parser.flags & F_CHUNKED) != 0;
   std::optional<std::uint64_t> size;
--- a/src/sapphirehook/http1/message_parser.hpp
+++ b/src/sapphirehook/http1/message_parser.hpp
@@ -64,6 +64,11 @@
   /** Starts the next message after a complete one. */
   void Resume();
 
+  /** Stops after the head, if called from m_onHead: Feed consumes nothing until
+      Unpause is called. */
+  void Pause() noexcept;
+  void Unpause() noexcept;
+
   [[nodiscard]] ParseFault Fault() const noexcept { return m_fault; }
 
   /** Returns whether any byte of the current message has been parsed. */
@@ -76,6 +81,10 @@
   /** Returns whether the peer keeps the connection open after this message. */
   [[nodiscard]] bool KeepsAlive() const noexcept { return m_keepAlive; }
 
+  /** Returns whether the peer understands the chunked encoding: it states
+      HTTP/1.1 or later. */
+  [[nodiscard]] bool TakesChunks() const noexcept { return m_takesChunks; }
+
   /** Returns whether the close of the connection ends the response's body. */
   [[nodiscard]] bool IsCloseDelimited() const noexcept
   {
@@ -119,6 +128,8 @@
   bool m_complete = false;
   bool m_keepAlive = true;
   bool m_isCloseDelimited = false;
+  bool m_takesChunks = true;
+  bool m_paused = false;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -266,7 +266,7 @@
 
 TcpListener::TcpListener(EventLoop& aLoop, std::function<void(int)> aOnSocket)
   : m_onSocket(std::move(aOnSocket))
-  , m_watcher(aLoop, [this](int) { OnReadable(); })
+  , m_watcher(aLoop, [this](int) { AcceptOne(); })
 {
 }
 
@@ -301,13 +301,21 @@
 }
 
 void
-TcpListener::OnReadable()
+TcpListener::AcceptPending()
+{
+  while (AcceptOne()) {
+  }
+}
+
+bool
+TcpListener::AcceptOne()
 {
   const int accepted =
     accept4(m_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (accepted >= 0) {
     m_onSocket(accepted);
   }
+  return accepted >= 0;
 }
 
 DatagramSocket::DatagramSocket(EventLoop& aLoop, Handler aOnDatagram)
--- a/src/sapphirehook/net/tcp_stream.hpp
+++ b/src/sapphirehook/net/tcp_stream.hpp
@@ -112,10 +112,14 @@
   /** Returns whether the address could be bound. */
   [[nodiscard]] bool Listen(const sockaddr_in& aAddress);
 
+  /** Accepts all connections that are established. */
+  void AcceptPending();
+
   void Close();
 
 private:
-  void OnReadable();
+  /** Returns whether a connection was waiting to be accepted. */
+  bool AcceptOne();
 
   std::function<void(int)> m_onSocket;
   SocketWatcher m_watcher;
--- a/test/sapphirehook/gateway/engine_fixture.hpp
+++ b/test/sapphirehook/gateway/engine_fixture.hpp
@@ -181,6 +181,14 @@
     m_callerEnded = false;
   }
 
+  /** Begins a planned stop. Requests that arrive after aLastArrival from now
+      and may last beyond aEnd are refused. */
+  void BeginStop(Millis aLastArrival = Millis(2000), Millis aEnd = kTimeout)
+  {
+    const TimePoint now = BootClock::now();
+    m_engine.BeginStop(now + aLastArrival, now + aEnd);
+  }
+
   /** Handles events until a condition holds. Returns whether it held in
       time. */
   bool Until(const std::function<bool()>& aCondition, Millis aFor = kTimeout)
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -476,7 +476,7 @@
   Fixture fixture;
   fixture.List("plain");
   CHECK(Fixture::HasStatus(fixture.Ask("/safe/x", "a"), 200));
-  fixture.m_engine.BeginStop();
+  fixture.BeginStop();
   const auto answer = fixture.Ask("/safe/x", "b");
   CHECK(Fixture::HasStatus(answer, 200));
   CHECK(answer.find("Connection: close") != std::string::npos);
@@ -489,7 +489,7 @@
   Fixture fixture;
   fixture.List("plain");
   CHECK(Fixture::HasStatus(fixture.Ask("/safe/x", "a"), 200));
-  fixture.m_engine.BeginStop();
+  fixture.BeginStop();
   fixture.m_engine.CloseIdleCallers();
   CHECK(fixture.Until([&] { return fixture.m_callerEnded; }));
 }
