After a start, the keys of a large fleet lie on all of its endpoints

What callers saw: in 4 of 5 starts of the large site 60 to 84% of the lookups were served in time while most of the 449 endpoints were idle: 361 of them got no request, and that lasted 25 s.

Cause, three parts. (1) Ranges that nobody has held yet counted as those of a lost endpoint and were split for redistribution: 500 initial ranges became 1,517 with 88 known endpoints and 4,565 with all. (2) Above 1,500 ranges the planner did not run at all, so endpoints that became known later got nothing; and 4,565 ranges need 3,000 renewals a second where a leader sends 800, so 30% of the keys were never granted. (3) Keys were assigned 400 ms after the first endpoint, to the fifth of the endpoints that were known by then. A change of leaders is not the cause: the replay shows the same with one leader.

Before: endpoints known over 1.5 s, one leader: 310 of 449 without keys from 2 s to 35 s, 1,516 ranges; all known at once: 30% of the keys granted to nobody at 35 s. The random test then found a fourth part: endpoints that come after the first assignment got nothing if a whole range was too much for them (90 of 415).

Ruled out: the wait for grants of earlier leaders (19.5 s) as the cause of the spread; releases do not wait for it.

Change: ranges without a holder keep their size; splitting for redistribution ends at 1,500 ranges; above that the planner moves whole ranges instead of none; pieces for a new endpoint are at most its part; each endpoint gets the same number of initial ranges; keys are assigned once endpoints have stopped becoming known for 400 ms, after 2 s at the latest.

Why it works: the number of ranges no longer depends on how many endpoints happen to be known, and no number of ranges keeps endpoints without keys.

--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/core/event_log.hpp"
 #include "sapphirehook/gateway/endpoint_commands.hpp"
 #include "sapphirehook/gateway/map_exchange.hpp"
+#include "sapphirehook/keys/initial_ranges.hpp"
 #include "sapphirehook/keys/leadership.hpp"
 #include "sapphirehook/keys/range_planner.hpp"
 #include "sapphirehook/store/topic_reader.hpp"
@@ -157,6 +158,7 @@
   /** Whether a service's keys can be assigned: either the store has earlier
       assignments, or its first endpoints have had time to appear. */
   [[nodiscard]] bool CanBegin(TimePoint aNow, const std::string& aService);
+  [[nodiscard]] std::size_t EndpointCount(const std::string& aService) const;
   std::vector<RangeManagerEndpoint> ManagerEndpoints(
     TimePoint aNow,
     const std::string& aService);
@@ -205,8 +207,8 @@
   TimePoint m_appendSentAt{};
   TimePoint m_appendedAt{};
 
-  /** Time when the first endpoint of a service was seen, by service. */
-  std::map<std::string, TimePoint> m_firstEndpointSeenAt;
+  /** How the endpoints of each service have become known. */
+  std::map<std::string, ArrivalWindow> m_arrivals;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -18,16 +18,6 @@
 constexpr Millis kStoreInterval{ 60 };
 /** Delay before a rejected or unresolved append is retried. */
 constexpr Millis kStoreRetry{ 120 };
-/** Initial number of ranges per endpoint, so that the keys of an endpoint are
-    spread over the key space. */
-constexpr std::size_t kRangesPerEndpoint = 6;
-/** Limit of the initial number of ranges, unless there are more endpoints than
-    this. It lowers the ranges per endpoint where there are many endpoints,
-    since each range needs its own renewals. */
-constexpr std::size_t kMaxInitialRanges = 500;
-/** Wait from the first endpoint of a service until its keys are assigned for
-    the first time, so that more endpoints can appear. */
-constexpr Millis kGatherEndpoints{ 400 };
 /** Time between two ticks that check all ranges and endpoints. Other ticks
     check only the ranges that have changed. */
 constexpr Millis kFullTickInterval{ 100 };
@@ -37,8 +27,6 @@
 /** Number of low bits of a fence that count the changes within a term. A term
     has fewer changes than they can count. */
 constexpr unsigned kFenceTermBits = 22;
-/** Number of ranges above which the planner is not run for a service. */
-constexpr std::size_t kMaxRanges = 1500;
 /** Presumed remaining duration of an earlier leader's grants at the start of a
     term: the lease duration, less the renewal interval, the heartbeat timeout
     that detects the loss of a leader, and the duration of the claim. */
@@ -55,14 +43,18 @@
       stored->first.compare(0, prefix.size(), prefix) == 0) {
     return true;
   }
-  for (const auto& [name, known] : m_directory.All()) {
-    if (known.m_record.m_service == aService) {
-      const auto since =
-        m_firstEndpointSeenAt.try_emplace(aService, aNow).first->second;
-      return aNow >= since + kGatherEndpoints;
-    }
-  }
-  return false;
+  const auto endpoints = EndpointCount(aService);
+  return m_arrivals[aService].HasSettled(aNow, endpoints);
+}
+
+std::size_t
+Ownership::EndpointCount(const std::string& aService) const
+{
+  const auto& all = m_directory.All();
+  return static_cast<std::size_t>(
+    std::count_if(all.begin(), all.end(), [&](const auto& aOne) {
+      return aOne.second.m_record.m_service == aService;
+    }));
 }
 
 void
@@ -96,14 +88,7 @@
                                        aNow + kPresumedLeaseDuration);
       }
     }
-    std::size_t endpoints = 0;
-    for (const auto& [endpoint, known] : m_directory.All()) {
-      endpoints += known.m_record.m_service == name ? 1 : 0;
-    }
-    endpoints = std::max<std::size_t>(endpoints, 1);
-    const std::size_t maxRanges = std::max(kMaxInitialRanges, endpoints);
-    ledService.m_rangeManager.CoverAll(static_cast<unsigned>(
-      std::min(endpoints * kRangesPerEndpoint, maxRanges)));
+    ledService.m_rangeManager.CoverAll(InitialRanges(EndpointCount(name)));
     // This daemon may have no map yet. The other daemons request the blocks
     // that differ from theirs.
     for (const auto& route : ledService.m_rangeManager.Routes()) {
@@ -260,9 +245,6 @@
     ledService.m_planner.Add(m_engine.TakeKeyCounts(name));
     ledService.m_planner.Advance(now);
     const auto ranges = ledService.m_rangeManager.Ranges();
-    if (ranges.size() > kMaxRanges) {
-      continue;
-    }
     std::vector<PlannerEndpoint> endpoints;
     for (const auto& endpoint : ManagerEndpoints(now, name)) {
       if (endpoint.m_usable && !endpoint.m_unresponsive && !endpoint.m_dead) {
--- a/src/sapphirehook/keys/range_manager_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_impl.hpp
@@ -17,6 +17,10 @@
 /** Number of parts into which the keys of a lost endpoint with a mean share are
     split, so that they go to several others. */
 inline constexpr std::uint32_t kRedistributionParts = 6;
+/** Number of ranges from which on the ranges of lost endpoints are not split:
+    each range costs renewals, and a leader sends a limited number of grants a
+    second. */
+inline constexpr std::size_t kMaxSplitRanges = 1500;
 
 } // namespace internal
 
@@ -331,7 +335,11 @@
     SetGranted(aRange, false);
   }
   if (!OwnerIsUsable(aRange)) {
-    SplitForRedistribution(aRange.m_range);
+    // A range that nobody has held yet has its initial size.
+    if (!aRange.m_owner.m_name.empty() &&
+        m_ranges.size() < internal::kMaxSplitRanges) {
+      SplitForRedistribution(aRange.m_range);
+    }
     const auto* target = ChooseTarget(aRange);
     if (target != nullptr) {
       BeginMove(aNow, aRange, target->m_incarnation);
--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -23,6 +23,8 @@
 constexpr double kMinCapacity = 0.1;
 /** An endpoint without a range receives at least this part of the mean load. */
 constexpr double kMinNewEndpointShare = 0.5;
+/** Above the rate of any range, in requests a second. */
+constexpr double kUnlimitedRate = 1e12;
 /** Base rate that is added for each key, in requests a second, so that keys
     without traffic are distributed too. */
 constexpr double kIdleKeyRate = 2e-5;
@@ -200,27 +202,47 @@
   }
   const double maxShare =
     std::max(m_config.m_busyShare, total / capacity * m_config.m_maxMeanRatio);
+  const bool maySplit = aRanges.size() <= m_config.m_maxRanges;
   std::vector<PlannedMove> moves;
   const double mean = total / capacity;
   while (moves.size() < m_config.m_maxMoves) {
     auto* busiest = Busiest(loads);
     // A new endpoint receives its part even if no endpoint is busy.
-    const bool hasNewEndpoint =
-      std::any_of(loads.begin(), loads.end(), [&](const auto& aOne) {
-        return aOne.second.m_isNew &&
-               aOne.second.Share() < mean * kMinNewEndpointShare;
-      });
+    const auto* newcomer = SmallestNewcomer(loads, mean);
     if (busiest == nullptr ||
-        (busiest->LowerBoundShare() <= maxShare && !hasNewEndpoint)) {
+        (busiest->LowerBoundShare() <= maxShare && newcomer == nullptr)) {
       break;
     }
-    if (!MoveOne(*busiest, loads, moves)) {
+    double maxRate = kUnlimitedRate;
+    if (maySplit) {
+      maxRate = busiest->m_capacity * m_config.m_pieceShare;
+      maxRate = newcomer == nullptr
+                  ? maxRate
+                  : std::min(maxRate, newcomer->m_capacity * mean);
+    }
+    if (!MoveOne(*busiest, maxRate, loads, moves)) {
       busiest->m_settled = true;
     }
   }
   return moves;
 }
 
+/** Returns the endpoint of the lowest capacity among those that hold no range
+    and are to receive less than their part, or null if there is none. */
+const RangePlanner::Load*
+RangePlanner::SmallestNewcomer(const std::map<std::string, Load>& aLoads,
+                               double aMeanShare)
+{
+  const Load* smallest = nullptr;
+  for (const auto& [name, load] : aLoads) {
+    if (load.m_isNew && load.Share() < aMeanShare * kMinNewEndpointShare &&
+        (smallest == nullptr || load.m_capacity < smallest->m_capacity)) {
+      smallest = &load;
+    }
+  }
+  return smallest;
+}
+
 RangePlanner::Load*
 RangePlanner::Busiest(std::map<std::string, Load>& aLoads)
 {
@@ -234,18 +256,19 @@
   return busiest;
 }
 
-/** Moves one piece off an endpoint: the busiest piece that another endpoint can
-    take without becoming as busy. Returns false if there is none. */
+/** Moves one piece of at most a rate off an endpoint: the busiest piece that
+   another endpoint can take without becoming as busy. Returns false if there is
+   none. */
 bool
 RangePlanner::MoveOne(Load& aFrom,
+                      double aMaxPieceRate,
                       std::map<std::string, Load>& aLoads,
                       std::vector<PlannedMove>& aMoves) const
 {
   if (!aFrom.m_isSplit) {
     aFrom.m_isSplit = true;
     for (const auto& range : aFrom.m_ranges) {
-      const auto pieces =
-        SplitRange(range, aFrom.m_capacity * m_config.m_pieceShare);
+      const auto pieces = SplitRange(range, aMaxPieceRate);
       aFrom.m_pieces.insert(aFrom.m_pieces.end(), pieces.begin(), pieces.end());
     }
     std::sort(aFrom.m_pieces.begin(),
--- a/src/sapphirehook/keys/range_planner.hpp
+++ b/src/sapphirehook/keys/range_planner.hpp
@@ -36,6 +36,9 @@
   double m_maxLoadRatio = 0.9;
   /** Largest number of ranges that move in one round. */
   std::size_t m_maxMoves = 48;
+  /** Number of ranges above which they move whole, since each range costs
+      renewals. */
+  std::size_t m_maxRanges = 1500;
 };
 
 /** An endpoint and its capacity. */
@@ -156,7 +159,11 @@
   [[nodiscard]] std::vector<Piece> SplitRange(KeyRange aRange,
                                               double aMaxRate) const;
   [[nodiscard]] static Load* Busiest(std::map<std::string, Load>& aLoads);
+  [[nodiscard]] static const Load* SmallestNewcomer(
+    const std::map<std::string, Load>& aLoads,
+    double aMeanShare);
   bool MoveOne(Load& aFrom,
+               double aMaxPieceRate,
                std::map<std::string, Load>& aLoads,
                std::vector<PlannedMove>& aMoves) const;
 
