--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <utility>
 
 namespace sapphirehook::soak {
@@ -16,6 +17,14 @@
 constexpr Millis kConnectTimeout{ 1000 };
 /** Maximum number of requests on one connection. */
 constexpr unsigned kMaxRequestsPerConnection = 40;
+/** Maximum number of requests without an answer on one connection, and the
+    share of connections, one in so many, on which there may be several. */
+constexpr std::size_t kMaxPipelined = 5;
+constexpr unsigned kPipelineEvery = 3;
+/** One in so many lookups on such a connection asks to close it, and one in so
+    many payments is sent behind others. */
+constexpr unsigned kCloseEvery = 20;
+constexpr unsigned kPayBehindEvery = 4;
 /** Minimum size of large bodies, and the range added to it, in bytes. */
 constexpr std::size_t kMinBodyBytes = 2'000;
 constexpr std::size_t kBodyBytesRange = 150'000;
@@ -36,13 +45,14 @@
 
 } // namespace
 
-/** A caller's connection, which carries one request at a time. */
+/** A caller's connection. */
 class Callers::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-  Connection(Callers& aOwner, std::size_t aGateway)
+  Connection(Callers& aOwner, std::size_t aGateway, bool aPipelines)
     : m_owner(aOwner)
     , m_gateway(aGateway)
+    , m_pipelines(aPipelines)
     , m_stream(
         aOwner.m_loop,
         StreamEvents{ nullptr,
@@ -63,116 +73,154 @@
     m_stream.Connect(aAddress, kConnectTimeout, kAnswerTimeout);
   }
 
-  [[nodiscard]] bool IsFree() const
+  /** Returns whether a request of a type may be sent now. */
+  [[nodiscard]] bool Takes(RequestType aType, bool aMayPayBehind) const
   {
-    return !m_busy && !m_ended && m_uses < kMaxRequestsPerConnection &&
-           m_stream.IsConnected();
+    const bool mayPipeline = m_pipelines && m_pending.size() < kMaxPipelined &&
+                             (aType == RequestType::Look ||
+                              (aType == RequestType::Pay && aMayPayBehind));
+    return !m_ended && m_uses < kMaxRequestsPerConnection &&
+           m_stream.IsConnected() && (!IsBusy() || mayPipeline);
   }
-  [[nodiscard]] bool IsBusy() const noexcept { return m_busy; }
+  [[nodiscard]] bool IsBusy() const noexcept { return !m_pending.empty(); }
   [[nodiscard]] bool IsEnded() const noexcept { return m_ended; }
+  [[nodiscard]] bool Pipelines() const noexcept { return m_pipelines; }
   [[nodiscard]] std::size_t Gateway() const noexcept { return m_gateway; }
 
   void Send(CallerRecord aRecord, const std::string& aHead, std::string aBody)
   {
-    m_record = std::move(aRecord);
-    m_record.m_newConnection = m_uses++ == 0;
-    m_body = std::move(aBody);
-    m_answer.clear();
-    m_busy = true;
-    m_timer.Start(kAnswerTimeout);
-    m_stream.Write(aHead + m_body);
+    aRecord.m_newConnection = m_uses++ == 0;
+    aRecord.m_isBehind = IsBusy();
+    if (!IsBusy()) {
+      m_timer.Start(kAnswerTimeout);
+    }
+    m_pending.push_back({ std::move(aRecord), std::move(aBody) });
+    m_stream.Write(aHead + m_pending.back().m_body);
   }
 
   void Close()
   {
+    m_timer.Stop();
     m_stream.Close();
     m_ended = true;
   }
 
 private:
+  struct Pending
+  {
+    CallerRecord m_record;
+    std::string m_body;
+  };
+
   void OnData(std::string_view aBytes)
   {
-    if (!m_busy) {
-      // The bytes belong to no request.
-      m_record.m_wrongAnswer = true;
-      m_owner.OnEnd(m_record);
-      Close();
-      return;
-    }
-    const std::size_t used = m_parser.Feed(aBytes);
-    if (m_parser.Fault() != ParseFault::None ||
-        (m_parser.IsComplete() && used < aBytes.size())) {
-      m_record.m_wrongAnswer = true;
-      Finish(RequestOutcome::Answered);
-      Close();
-    } else if (m_parser.IsComplete()) {
-      OnAnswer();
+    const auto self = shared_from_this();
+    while (!aBytes.empty() && !m_ended) {
+      if (!IsBusy()) {
+        // The bytes belong to no request.
+        m_last.m_wrongAnswer = true;
+        m_owner.OnEnd(m_last);
+        Close();
+        return;
+      }
+      aBytes.remove_prefix(m_parser.Feed(aBytes));
+      if (m_parser.Fault() != ParseFault::None) {
+        m_pending.front().m_record.m_wrongAnswer = true;
+        Finish(RequestOutcome::Answered);
+        EndAll(RequestOutcome::NoAnswer);
+        return;
+      }
+      if (m_parser.IsComplete()) {
+        OnAnswer();
+      }
     }
   }
 
   void OnAnswer()
   {
     const auto& head = m_parser.Response();
-    m_record.m_status = head.m_status;
+    auto& [record, body] = m_pending.front();
+    record.m_status = head.m_status;
     const auto* id =
       FindHeader(head.m_headers, m_owner.m_protocol.m_attemptHeader);
     const auto* signature =
       FindHeader(head.m_headers, platform::SignatureHeader());
     constexpr int kOk = 200;
     if (head.m_status == kOk) {
-      m_record.m_wrongAnswer = id == nullptr || *id != m_record.m_id ||
-                               signature == nullptr ||
-                               *signature != SignatureOf(m_record.m_id) ||
-                               m_answer != BodyOf(m_record.m_id, m_body);
+      record.m_wrongAnswer = id == nullptr || *id != record.m_id ||
+                             signature == nullptr ||
+                             *signature != SignatureOf(record.m_id) ||
+                             m_answer != BodyOf(record.m_id, body);
     } else {
-      m_record.m_wrongAnswer =
-        signature != nullptr || (id != nullptr && *id != m_record.m_id);
+      record.m_wrongAnswer =
+        signature != nullptr || (id != nullptr && *id != record.m_id);
     }
     const bool keepsAlive = m_parser.KeepsAlive();
     m_parser.Resume();
+    m_answer.clear();
     Finish(RequestOutcome::Answered);
     if (!keepsAlive) {
-      Close();
+      EndAll(RequestOutcome::NotRead);
     }
   }
 
   void OnStreamEnd()
   {
+    const auto self = shared_from_this();
     m_ended = true;
-    if (m_busy) {
+    if (IsBusy()) {
       m_parser.FeedEof();
       Finish(m_parser.IsInMessage() ? RequestOutcome::AnswerTruncated
                                     : RequestOutcome::NoAnswer);
     }
+    EndAll(RequestOutcome::NoAnswer);
   }
 
   void OnTimeout()
   {
-    Finish(RequestOutcome::CallerTimedOut);
-    Close();
+    const auto self = shared_from_this();
+    EndAll(RequestOutcome::CallerTimedOut);
   }
 
+  /** Ends the first request. */
   void Finish(RequestOutcome aEnd)
   {
-    const auto self = shared_from_this();
     m_timer.Stop();
-    m_busy = false;
-    m_record.m_end = aEnd;
-    m_record.m_endedAt = BootClock::now();
-    m_record.m_fullySent = m_stream.Unsent() == 0;
-    m_owner.OnEnd(m_record);
+    m_last = std::move(m_pending.front().m_record);
+    m_pending.pop_front();
+    m_last.m_end = aEnd;
+    m_last.m_endedAt = BootClock::now();
+    m_last.m_fullySent = m_stream.Unsent() == 0;
+    m_owner.OnEnd(m_last);
+    if (IsBusy()) {
+      const auto left =
+        m_pending.front().m_record.m_sentAt + kAnswerTimeout - m_last.m_endedAt;
+      m_timer.Start(std::max(left, std::chrono::nanoseconds(0)));
+    }
+  }
+
+  /** Ends all requests and the connection. */
+  void EndAll(RequestOutcome aEnd)
+  {
+    while (IsBusy()) {
+      Finish(aEnd);
+    }
+    Close();
   }
 
   Callers& m_owner;
   std::size_t m_gateway;
+  bool m_pipelines;
   TcpStream m_stream;
   MessageParser m_parser;
   Timer m_timer;
-  CallerRecord m_record;
-  std::string m_body;
+  /** Requests without a complete answer, in the order in which they were
+      sent. */
+  std::deque<Pending> m_pending;
+  /** The last request that ended. */
+  CallerRecord m_last;
   std::string m_answer;
   unsigned m_uses = 0;
-  bool m_busy = false;
   bool m_ended = false;
 };
 
@@ -243,22 +291,34 @@
   Send(aGateway, aAddress, RequestType::Probe);
 }
 
-void
-Callers::Send(std::size_t aGateway,
-              const sockaddr_in& aAddress,
-              RequestType aType)
+std::shared_ptr<Callers::Connection>
+Callers::ConnectionFor(std::size_t aGateway,
+                       const sockaddr_in& aAddress,
+                       RequestType aType)
 {
   std::erase_if(m_connections,
                 [](const auto& aOne) { return aOne->IsEnded(); });
-  auto found = std::find_if(
+  const bool mayPayBehind = m_random() % kPayBehindEvery == 0;
+  const auto found = std::find_if(
     m_connections.begin(), m_connections.end(), [&](const auto& aOne) {
-      return aOne->Gateway() == aGateway && aOne->IsFree();
+      return aOne->Gateway() == aGateway && aOne->Takes(aType, mayPayBehind);
     });
-  if (found == m_connections.end()) {
-    auto connection = std::make_shared<Connection>(*this, aGateway);
-    connection->Open(aAddress);
-    found = m_connections.insert(m_connections.end(), std::move(connection));
+  if (found != m_connections.end()) {
+    return *found;
   }
+  const bool pipelines = m_opened++ % kPipelineEvery == 0;
+  auto connection = std::make_shared<Connection>(*this, aGateway, pipelines);
+  connection->Open(aAddress);
+  m_connections.push_back(connection);
+  return connection;
+}
+
+void
+Callers::Send(std::size_t aGateway,
+              const sockaddr_in& aAddress,
+              RequestType aType)
+{
+  const auto connection = ConnectionFor(aGateway, aAddress, aType);
   const auto& target = kTargets.at(static_cast<std::size_t>(aType));
   CallerRecord record;
   record.m_id = "q" + std::to_string(++m_lastId);
@@ -288,8 +348,11 @@
   if (hasBody) {
     AppendHeader(head, "Content-Length", std::to_string(body.size()));
   }
+  if (aType == RequestType::Look && connection->Pipelines() &&
+      m_random() % kCloseEvery == 0) {
+    AppendHeader(head, "Connection", "close");
+  }
   head += "\r\n";
-  const auto connection = *found;
   connection->Send(std::move(record), head, std::move(body));
 }
 
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -37,6 +37,9 @@
   NoAnswer,
   /** The caller's timeout expired, and the caller closed the connection. */
   CallerTimedOut,
+  /** The request was sent behind an answer that closed the connection, and so
+      counts as not read. */
+  NotRead,
 };
 
 /** One request, as its caller recorded it. */
@@ -55,6 +58,8 @@
   bool m_fullySent = false;
   /** The request was the first on its connection. */
   bool m_newConnection = false;
+  /** The request was sent before the answers to others on its connection. */
+  bool m_isBehind = false;
 };
 
 struct CallersOptions
@@ -66,7 +71,8 @@
 };
 
 /** Sends requests at a steady average rate to the gateways in rotation and
-    reuses connections while they are open. */
+    reuses connections while they are open. On every third connection it sends
+    further requests before the first has been answered. */
 class Callers
 {
 public:
@@ -96,6 +102,10 @@
 private:
   class Connection;
 
+  [[nodiscard]] std::shared_ptr<Connection> ConnectionFor(
+    std::size_t aGateway,
+    const sockaddr_in& aAddress,
+    RequestType aType);
   void SendNext();
   void Send(std::size_t aGateway,
             const sockaddr_in& aAddress,
@@ -108,6 +118,7 @@
   std::mt19937 m_random;
   Timer m_timer;
   unsigned m_lastId = 0;
+  unsigned m_opened = 0;
   std::vector<std::pair<std::size_t, sockaddr_in>> m_rotation;
   std::list<std::shared_ptr<Connection>> m_connections;
   std::vector<CallerRecord> m_records;
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -285,6 +285,11 @@
       if (atMostOnce && runs > 1) {
         AddViolation("at most once", request.m_id, " ran ", runs, " times");
       }
+      if (atMostOnce && runs > 0 && request.m_end == RequestOutcome::NotRead) {
+        AddViolation("behind a closing answer nothing runs",
+                     request.m_id,
+                     " was sent behind a closing answer and ran");
+      }
       const std::set<int> notRun{ 408, 421, 429, 503 };
       if (atMostOnce && runs > 0 && request.m_end == RequestOutcome::Answered &&
           notRun.contains(request.m_status)) {
@@ -342,6 +347,9 @@
           continue;
         }
         const bool ran = m_runs.contains(request.m_id);
+        if (!ran && request.m_isBehind) {
+          continue; // it was not read, and the caller may send it again
+        }
         if (ran || request.m_endedAt - request.m_sentAt > kCloseRace) {
           AddViolation("a planned stop cuts off nothing",
                        request.m_id,
