Above the limit of ranges, whole ranges move only off overloaded endpoints

Cause: hot keys split ranges until there are more than 1,500. Whole ranges fit seldom, so they moved back and forth, and a key in motion is not served.

Evidence: `range-moves` of the leader, 145 a second after the last hot key had ended.

Change: while no range may be split, ranges move off endpoints above 0.9 of their capacity, and to endpoints without any. Test: neither happens at a moderate imbalance; both move whole ranges.

Ruled out: no moves at all above the limit, as before: endpoints that become known later would get nothing.

--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -200,17 +200,20 @@
       }
     }
   }
-  const double maxShare =
-    std::max(m_config.m_busyShare, total / capacity * m_config.m_maxMeanRatio);
   const bool maySplit = aRanges.size() <= m_config.m_maxRanges;
+  const double busyShare =
+    maySplit ? m_config.m_busyShare : m_config.m_overloadedShare;
+  const double maxShare =
+    std::max(busyShare, total / capacity * m_config.m_maxMeanRatio);
   std::vector<PlannedMove> moves;
   const double mean = total / capacity;
   while (moves.size() < m_config.m_maxMoves) {
     auto* busiest = Busiest(loads);
     // A new endpoint receives its part even if no endpoint is busy.
     const auto* newcomer = SmallestNewcomer(loads, mean);
-    if (busiest == nullptr ||
-        (busiest->LowerBoundShare() <= maxShare && newcomer == nullptr)) {
+    const bool isBusy =
+      busiest != nullptr && busiest->LowerBoundShare() > maxShare;
+    if (busiest == nullptr || (!isBusy && newcomer == nullptr)) {
       break;
     }
     double maxRate = kUnlimitedRate;
--- a/src/sapphirehook/keys/range_planner.hpp
+++ b/src/sapphirehook/keys/range_planner.hpp
@@ -25,6 +25,9 @@
   /** The planner moves load off an endpoint only above this share of its
       capacity. */
   double m_busyShare = 0.55;
+  /** The same share while no range may be split: whole ranges fit less often,
+      and would move back and forth. */
+  double m_overloadedShare = 0.9;
   /** The planner moves load off an endpoint only above this many times the mean
       load. */
   double m_maxMeanRatio = 1.25;
@@ -36,8 +39,9 @@
   double m_maxLoadRatio = 0.9;
   /** Largest number of ranges that move in one round. */
   std::size_t m_maxMoves = 48;
-  /** Number of ranges above which they move whole, since each range costs
-      renewals. */
+  /** Number of ranges above which none is split, since each range costs
+      renewals. Whole ranges then move only off overloaded endpoints, and to
+      endpoints without any. */
   std::size_t m_maxRanges = 1500;
 };
 
--- a/test/sapphirehook/keys/range_planner.cpp
+++ b/test/sapphirehook/keys/range_planner.cpp
@@ -143,6 +143,49 @@
   CHECK(keys > kKeyCount / 16 / 3);
 }
 
+TEST_CASE(
+  "with very many ranges, whole ranges move to a new endpoint and off an "
+  "overloaded one, and otherwise none",
+  "[keys]")
+{
+  constexpr int kRanges = 1600;
+  constexpr int kEndpoints = 40;
+  constexpr int kStepMs = 200;
+  const auto ranges = EvenRanges(kRanges, kEndpoints);
+  // The requests of an endpoint go to its ranges in turn.
+  const auto planWith = [&](int aBusyRate, int aAll) {
+    RangePlanner planner{ PlannerConfig{} };
+    planner.Advance(At(0));
+    std::vector<int> turns(kEndpoints, 0);
+    for (int now = kStepMs; now <= 8000; now += kStepMs) {
+      std::vector<KeyCount> counts;
+      for (int endpoint = 0; endpoint < kEndpoints; ++endpoint) {
+        const int rate = endpoint == 0 ? aBusyRate : 20;
+        for (int i = 0; i < rate * kStepMs / 1000; ++i) {
+          const int turn = turns[endpoint]++ % (kRanges / kEndpoints);
+          counts.push_back(
+            { ranges[turn * kEndpoints + endpoint].m_range.m_first, 1 });
+        }
+      }
+      planner.Add(counts);
+      planner.Advance(At(now));
+    }
+    return planner.Plan(ranges, Endpoints(aAll));
+  };
+  CHECK(planWith(40, kEndpoints).empty());
+  const auto relief = planWith(120, kEndpoints);
+  const auto forNew = planWith(20, kEndpoints + 1);
+  CHECK_FALSE(relief.empty());
+  CHECK_FALSE(forNew.empty());
+  for (const auto* moves : { &relief, &forNew }) {
+    for (const auto& move : *moves) {
+      CHECK(std::any_of(ranges.begin(), ranges.end(), [&](const auto& aOne) {
+        return aOne.m_range == move.m_range;
+      }));
+    }
+  }
+}
+
 TEST_CASE("the counter is exact while it has free entries, and never too low",
           "[keys]")
 {
