Only successors go on reading the store for two seconds once they have begun

Cause: a daemon that begins to follow a topic goes on for at least 2 s, which keeps a leader whose confirmations are late from switching its successors on and off. All 295 daemons begin at the start, and after an outage, and polled both topics for 2 s although the leader's confirmations covered their copies: `follows-peers` came at -7.0 s, 3 s after the start.

Change: the minimum holds for successors only.

Ruled out: reading less at the start by waiting for relays; it would delay the return after a loss of all daemons.

--- a/src/sapphirehook/store/read_schedule.cpp
+++ b/src/sapphirehook/store/read_schedule.cpp
@@ -17,9 +17,10 @@
     Changes have to be in force within 2 s, of which a slow store takes 0.3
     s. */
 constexpr Millis kOthersDelay{ 1350 };
-/** Minimum time for which a daemon follows the store once it has begun. It
+/** Minimum time for which a successor follows the store once it has begun. It
     keeps a leader whose confirmations are occasionally late from starting and
-    stopping the reader each time. */
+    stopping the reader each time. Other daemons stop at once: hundreds of them
+    begin at the same time, after a start and after an outage. */
 constexpr Millis kMinFollowTime{ 2000 };
 
 Millis
@@ -97,7 +98,9 @@
                                   : m_peers.m_completeAt;
   if (m_followsStore) {
     const bool isConfirmed = aNow < confirmedAt + after;
-    m_followsStore = !isConfirmed || aNow < m_followingSince + kMinFollowTime;
+    const bool mayStop = !aRole.m_successorIndex ||
+                         aNow >= m_followingSince + kMinFollowTime;
+    m_followsStore = !isConfirmed || !mayStop;
   }
   if (!m_followsStore &&
       aNow >= std::max(confirmedAt, m_ownConfirmedAt) + after) {
--- a/test/sapphirehook/store/read_schedule.cpp
+++ b/test/sapphirehook/store/read_schedule.cpp
@@ -61,6 +61,22 @@
   CHECK(FallbackDelay(kLeader) == Millis(0));
 }
 
+TEST_CASE("after a start only the successors go on reading while a peer reads",
+          "[store]")
+{
+  const auto followsAfter = [](const ReaderRole& aRole, Millis aTime) {
+    ReadSchedule schedule;
+    REQUIRE(schedule.Next(kStart, aRole).m_followsStore);
+    schedule.OnOwnConfirmation({ 10, kStart + Millis(20), kStart });
+    schedule.OnPeerConfirmation(
+      { 10, kStart + aTime - Millis(100), {} }, true, 10);
+    return schedule.Next(kStart + aTime, aRole).m_followsStore;
+  };
+  CHECK_FALSE(followsAfter(kOther, Millis(150)));
+  CHECK(followsAfter(Successor(1), Millis(150)));
+  CHECK_FALSE(followsAfter(Successor(1), Millis(2050)));
+}
+
 TEST_CASE("a daemon's own confirmation delays its next read", "[store]")
 {
   auto schedule = ConfirmedByLeader(kOther);
