A daemon takes its place in the order of the fleet once it knows the other hosts

Cause: a daemon's place in the order of claims and of reads counts the better daemons that it knows. The store registers one host after the other, 4 ms each, so for the first 1.2 s of 295 daemons most knew nobody and took themselves for the first: all 11 daemons whose logs were kept read the store as the first successor at 0.95 s, and several claimed.

Evidence: `follows-store` with `heir` 0 on each of them. The test, a daemon alone that does not know the hosts: with the check of Tick taken out it leads after 0.7 s.

Change: until the registry has been read to its end once, for 2 s at most, a daemon does not claim and has no place among the readers (it reads like all others 1.35 s after the last confirmation).

Why it works: with one leader the keys are granted once; the order of claims is the same for all who know the same hosts.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -42,6 +42,10 @@
     second apart. */
 constexpr Millis kBalancerRemovalTime{ 2400 };
 constexpr Millis kStopTick{ 100 };
+/** Time from the start after which a daemon acts without the list of hosts. The
+    store processes the registrations of a fleet one after the other: 300 take
+    1.2 s. */
+constexpr Millis kMaxHostListWait{ 2000 };
 /** Grants that a leader with a whole core sends in one round; the limit is
     proportional to its share of a core. Each grant takes about 0.1 ms of
     processor time. */
@@ -177,6 +181,10 @@
   m_ownership.m_onStoreFailure = [this](StoreAnswer aAnswer) {
     OnStoreFailure("claim", aAnswer);
   };
+  m_ownership.m_knowsHosts = [this] {
+    return m_registry.IsListed() ||
+           BootClock::now() >= m_startedAt + kMaxHostListWait;
+  };
   m_ownership.m_listReadAt = [this](TimePoint aWanted) {
     return EndpointsReadAt(aWanted);
   };
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -130,6 +130,7 @@
   TimePoint m_probedAt{};
   OutageWatch m_outages;
   bool m_endpointsQueued = false;
+  TimePoint m_startedAt = BootClock::now();
   bool m_stopping = false;
   TimePoint m_stopBegan{};
   /** State of a followed topic: who reads it from the store, and how its
--- a/src/sapphirehook/gateway/host_registry.cpp
+++ b/src/sapphirehook/gateway/host_registry.cpp
@@ -106,9 +106,10 @@
   }
   if (aPage.m_hasMore && !aPage.m_records.empty()) {
     Read();
-  } else if (m_registered) {
-    m_done = true;
-  } else {
+    return;
+  }
+  m_listed = true;
+  if (!m_registered) {
     Register();
   }
 }
--- a/src/sapphirehook/gateway/host_registry.hpp
+++ b/src/sapphirehook/gateway/host_registry.hpp
@@ -49,8 +49,8 @@
       yet. */
   void Start(bool aFirstStart);
 
-  /** Whether this host is registered and all entries have been read. */
-  [[nodiscard]] bool IsDone() const noexcept { return m_done; }
+  /** Whether the entries of the other hosts have been read once. */
+  [[nodiscard]] bool IsListed() const noexcept { return m_listed; }
 
 private:
   void Read();
@@ -67,7 +67,7 @@
   Backoff m_backoff;
   std::string m_after;
   bool m_registered = false;
-  bool m_done = false;
+  bool m_listed = false;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -115,7 +115,8 @@
     TickLedServices();
   } else if (m_reader) {
     StepDown("another daemon leads");
-  } else if (!m_claiming && !m_stopping && !KeyedServices().empty() &&
+  } else if (!m_claiming && !m_stopping && KnowsHosts() &&
+             !KeyedServices().empty() &&
              (m_leadership.ShouldClaim(now) || m_leadership.ShouldRead(now))) {
     TryClaim();
   }
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -84,6 +84,11 @@
       before aWanted, also starts a new read. */
   std::function<TimePoint(TimePoint aWanted)> m_listReadAt;
 
+  /** Returns whether this daemon knows the other hosts, so that its place in
+      their order means something. Until then it neither claims leadership nor
+      reads the store before the others. Optional. */
+  std::function<bool()> m_knowsHosts;
+
   /** Called when the store did not serve a read for a claim. */
   std::function<void(StoreAnswer)> m_onStoreFailure;
 
@@ -111,7 +116,7 @@
       fleet when the leader does not. */
   [[nodiscard]] std::optional<std::size_t> ReaderIndex(TimePoint aNow) const
   {
-    return m_leadership.ReaderIndex(aNow);
+    return KnowsHosts() ? m_leadership.ReaderIndex(aNow) : std::nullopt;
   }
 
   /** Whether this daemon has the complete maps of all keyed services. */
@@ -133,6 +138,10 @@
     RangePlanner m_planner;
   };
 
+  [[nodiscard]] bool KnowsHosts() const
+  {
+    return !m_knowsHosts || m_knowsHosts();
+  }
   void Tick();
   void TickSoon();
   void TickLedServices();
--- a/test/sapphirehook/gateway/ownership.cpp
+++ b/test/sapphirehook/gateway/ownership.cpp
@@ -162,3 +162,22 @@
   REQUIRE(fixture.Until(
     [&] { return daemon.IsAt(0, "two") || daemon.IsAt(0, "one"); }));
 }
+
+TEST_CASE("a daemon that does not know the other hosts yet neither claims "
+          "leadership nor reads the store before them",
+          "[gateway]")
+{
+  // In a fleet of 295, every daemon believed to be the first in the order.
+  Fixture fixture;
+  Daemon daemon(fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 1);
+  bool knowsHosts = false;
+  daemon.m_ownership.m_knowsHosts = [&] { return knowsHosts; };
+  daemon.List(fixture.m_one);
+  // Alone, it claims after 0.7 s.
+  support::RunFor(fixture.m_loop, Millis(1200));
+  CHECK_FALSE(daemon.m_ownership.Leads());
+  CHECK_FALSE(daemon.m_ownership.ReaderIndex(BootClock::now()));
+  knowsHosts = true;
+  CHECK(daemon.m_ownership.ReaderIndex(BootClock::now()) == 0U);
+  CHECK(fixture.Until([&] { return daemon.m_ownership.Leads(); }));
+}
