A request that reached no endpoint by its deadline is refused as not run

What callers saw: a 504 for requests of which no byte had left the daemon. A never-repeat request must not be sent again after a 504, though it had not run.

Cause: at the deadline OnTimer answered 504 for every request with an attempt, also while the connection to the endpoint was still being opened.

Change: if the only attempt in progress has not sent anything and no earlier one may have run, the caller gets 503, not run; the attempt counts as not sent.

Why it works: bytes are written only once the connection is open, and the attempt is abandoned before the answer.

--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -227,14 +227,21 @@
     return;
   }
   if (now + kTimerTolerance >= transaction.m_deadline) {
+    const bool reachedNone = transaction.m_upstream &&
+                             !transaction.m_upstream->IsRequestSent() &&
+                             !transaction.m_mayHaveRun;
     if (transaction.m_upstream) {
       transaction.m_upstream->Abandon();
-      EndAttempt(now, aTransaction, AttemptEnd::Abandoned);
+      EndAttempt(now,
+                 aTransaction,
+                 reachedNone ? AttemptEnd::NotSent : AttemptEnd::Abandoned);
     }
     if (transaction.m_answering) {
       auto* sink = transaction.m_sink;
       Complete(aTransaction);
       sink->AbortAnswer();
+    } else if (reachedNone) {
+      Refuse(aTransaction, "no connection in time", Millis(0));
     } else {
       Fail(aTransaction, kGatewayTimeout, "time ran out at the endpoint");
     }
--- a/src/sapphirehook/gateway/upstream_connection.hpp
+++ b/src/sapphirehook/gateway/upstream_connection.hpp
@@ -77,6 +77,9 @@
 
   [[nodiscard]] bool IsConnected() const { return m_stream.IsConnected(); }
 
+  /** Returns whether any byte of the request has left this daemon. */
+  [[nodiscard]] bool IsRequestSent() const noexcept { return m_requestSent; }
+
   /** Called when an idle connection ends. */
   std::function<void()> m_onIdleEnd;
 
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -1,5 +1,8 @@
 #include "engine_fixture.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace sapphirehook;
 using namespace sapphirehook::engine_fixture;
 
@@ -386,6 +389,39 @@
   }
 }
 
+TEST_CASE(
+  "a request that reached no endpoint by its deadline is refused as not "
+  "run",
+  "[gateway]")
+{
+  // Connections to the endpoint hang: the queue of its listening socket is
+  // full.
+  const auto address = support::FreeAddress();
+  const int listening = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  REQUIRE(bind(listening,
+               reinterpret_cast<const sockaddr*>(&address),
+               sizeof address) == 0);
+  REQUIRE(listen(listening, 0) == 0);
+  Fixture fixture;
+  std::vector<std::unique_ptr<TcpStream>> others;
+  for (int i = 0; i < 8; ++i) {
+    others.push_back(
+      std::make_unique<TcpStream>(fixture.m_loop, StreamEvents{}));
+    others.back()->Connect(address, kTimeout, kTimeout);
+  }
+  fixture.Until([] { return false; }, Millis(50));
+  auto record = fixture.m_one.Record("plain");
+  record.m_address = address;
+  fixture.m_directory.OnRecord(BootClock::now(), record);
+  fixture.m_engine.SetEndpoints(BootClock::now(), fixture.m_directory);
+  // The attempt to connect is in progress at the deadline.
+  const auto answer =
+    fixture.Ask("/once/x", "a", "X-Sapphirehook-Deadline-Ms: 250\r\n");
+  CHECK(Fixture::HasStatus(answer, 503));
+  CHECK(answer.find("Retry-After") != std::string::npos);
+  close(listening);
+}
+
 TEST_CASE(
   "an early answer does not corrupt the next request with the rest of the "
   "body",
