--- a/src/sapphirehook/store/read_schedule.cpp
+++ b/src/sapphirehook/store/read_schedule.cpp
@@ -98,8 +98,8 @@
                                   : m_peers.m_completeAt;
   if (m_followsStore) {
     const bool isConfirmed = aNow < confirmedAt + after;
-    const bool mayStop = !aRole.m_successorIndex ||
-                         aNow >= m_followingSince + kMinFollowTime;
+    const bool mayStop =
+      !aRole.m_successorIndex || aNow >= m_followingSince + kMinFollowTime;
     m_followsStore = !isConfirmed || !mayStop;
   }
   if (!m_followsStore &&
