--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -1,9 +1,13 @@
 #include "sapphirehook/gateway/caller_connection.hpp"
 
+#include "sapphirehook/gateway/internal/answers.hpp"
+
 #include <utility>
 
 namespace sapphirehook {
 
+using namespace internal;
+
 namespace {
 
 /** Maximum bytes of requests that are buffered until they may be read. Above
@@ -16,20 +20,9 @@
     paused and no further request is read. */
 constexpr std::size_t kMaxUnsent = 262'144;
 
-constexpr int kBadRequest = 400;
 constexpr int kTimeout = 408;
 constexpr int kTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
-constexpr int kBadGateway = 502;
-
-ResponseHead
-TextHead(int aStatus)
-{
-  ResponseHead head;
-  head.m_status = aStatus;
-  head.m_headers.push_back({ "Content-Type", "text/plain" });
-  return head;
-}
 
 bool
 ExpectsContinue(const RequestHead& aHead)
@@ -168,7 +161,7 @@
   if (aBytes.empty() || m_readsNothing) {
     return;
   }
-  m_backlog.push_back({ std::string(aBytes), now });
+  m_backlog.push_back({ std::string(aBytes), 0, now });
   m_backlogBytes += aBytes.size();
   if (m_backlogBytes > kMaxBacklog) {
     m_stream.SetReading(false);
@@ -187,7 +180,6 @@
 CallerConnection::Parse(std::string_view aBytes, TimePoint aReceivedAt)
 {
   const auto size = aBytes.size();
-  m_parsing = true;
   while (!aBytes.empty() && MayParse()) {
     if (!m_parser.IsInMessage()) {
       m_timer.Start(m_events.Limits().m_headTimeout);
@@ -210,7 +202,6 @@
       RestartIdleTimer();
     }
   }
-  m_parsing = false;
   return m_readsNothing ? size : size - aBytes.size();
 }
 
@@ -218,12 +209,15 @@
 CallerConnection::ParseBacklog()
 {
   while (!m_backlog.empty() && MayParse()) {
-    const auto chunk = std::move(m_backlog.front());
+    // An answer during the parsing may clear the backlog.
+    auto chunk = std::move(m_backlog.front());
     m_backlog.pop_front();
-    const auto used = Parse(chunk.m_bytes, chunk.m_receivedAt);
+    const auto rest = std::string_view(chunk.m_bytes).substr(chunk.m_parsed);
+    const auto used = Parse(rest, chunk.m_receivedAt);
     m_backlogBytes -= used;
-    if (used < chunk.m_bytes.size()) {
-      m_backlog.push_front({ chunk.m_bytes.substr(used), chunk.m_receivedAt });
+    chunk.m_parsed += used;
+    if (used < rest.size()) {
+      m_backlog.push_front(std::move(chunk));
     }
   }
   if (m_backlogBytes <= kMaxBacklog && !m_readsNothing) {
--- a/src/sapphirehook/gateway/caller_connection.hpp
+++ b/src/sapphirehook/gateway/caller_connection.hpp
@@ -92,10 +92,11 @@
 private:
   class Exchange;
 
-  /** Received bytes that are not parsed yet. */
+  /** Received bytes that are not all parsed yet. */
   struct Chunk
   {
     std::string m_bytes;
+    std::size_t m_parsed = 0;
     TimePoint m_receivedAt{};
   };
 
@@ -144,7 +145,6 @@
   /** A head is parsed, and its request waits until it may be passed on. */
   bool m_headWaits = false;
   bool m_headMayRunEarly = false;
-  bool m_parsing = false;
   bool m_backlogScheduled = false;
   /** A closing answer is queued or sent: what follows counts as not read. */
   bool m_readsNothing = false;
--- a/src/sapphirehook/gateway/internal/answers.hpp
+++ b/src/sapphirehook/gateway/internal/answers.hpp
@@ -33,6 +33,16 @@
   return text.data();
 }
 
+/** Returns the head of a plain-text answer of the gateway. */
+inline ResponseHead
+TextHead(int aStatus)
+{
+  ResponseHead head;
+  head.m_status = aStatus;
+  head.m_headers.push_back({ "Content-Type", "text/plain" });
+  return head;
+}
+
 /** Sends an answer of the gateway to a request that no endpoint answered. */
 inline void
 AnswerDirectly(AnswerSink& aSink,
@@ -40,9 +50,7 @@
                std::string_view aReason,
                std::optional<Millis> aRetryAfter)
 {
-  ResponseHead head;
-  head.m_status = aStatus;
-  head.m_headers.push_back({ "Content-Type", "text/plain" });
+  ResponseHead head = TextHead(aStatus);
   if (aRetryAfter) {
     head.m_headers.push_back({ "Retry-After", SecondsText(*aRetryAfter) });
   }
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -221,6 +221,9 @@
 
   /** Number of keys that are counted exactly between two reports. */
   static constexpr std::size_t kKeyCounters = 128;
+  /** Limit of the bytes of answers that wait behind others. It is small beside
+      the memory of the smallest host. */
+  static constexpr std::size_t kMaxHeldBytes = 524'288;
 
   Service& ServiceOf(const std::string& aName);
   bool Admit(const TransactionPtr& aTransaction,
@@ -312,9 +315,7 @@
   /** Hash of the last endpoint that FleetUses reported in hash order. */
   std::uint32_t m_lastReportedHash = 0;
   std::size_t m_daemons = 1;
-  /** Bytes of answers that wait behind others. Half a megabyte is small beside
-      the memory of the smallest host. */
-  HeldBytes m_heldBytes{ std::size_t{ 1 } << 19U };
+  HeldBytes m_heldBytes{ kMaxHeldBytes };
   bool m_stopping = false;
   /** Set while stopping. */
   TimePoint m_lastArrival{};
--- a/src/sapphirehook/keys/fwd.hpp
+++ b/src/sapphirehook/keys/fwd.hpp
@@ -14,6 +14,7 @@
 class RangeMap;
 class RangeManager;
 class HotKeyCounter;
+class ArrivalWindow;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/keys/range_manager.hpp
+++ b/src/sapphirehook/keys/range_manager.hpp
@@ -10,6 +10,11 @@
 
 namespace sapphirehook {
 
+/** Number of ranges of a service from which on none is split further. Each
+   range costs renewals, and a leader sends a limited number of grants a second.
+ */
+inline constexpr std::size_t kMaxSplitRanges = 1500;
+
 /** Durations and limits of the leases on ranges. */
 struct RangeManagerTimes
 {
--- a/src/sapphirehook/keys/range_manager_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_impl.hpp
@@ -3,12 +3,13 @@
 
 #include "sapphirehook/keys/range_manager.hpp"
 #include "sapphirehook/keys/range_manager_ranges_impl.hpp"
+#include "sapphirehook/keys/range_manager_store_impl.hpp"
 
 #include <algorithm>
 #include <bit>
 #include <utility>
 
-// Granting, releasing and storing of ranges.
+// Granting and releasing of ranges.
 
 namespace sapphirehook {
 
@@ -17,10 +18,6 @@
 /** Number of parts into which the keys of a lost endpoint with a mean share are
     split, so that they go to several others. */
 inline constexpr std::uint32_t kRedistributionParts = 6;
-/** Number of ranges from which on the ranges of lost endpoints are not split:
-    each range costs renewals, and a leader sends a limited number of grants a
-    second. */
-inline constexpr std::size_t kMaxSplitRanges = 1500;
 
 } // namespace internal
 
@@ -336,8 +333,7 @@
   }
   if (!OwnerIsUsable(aRange)) {
     // A range that nobody has held yet has its initial size.
-    if (!aRange.m_owner.m_name.empty() &&
-        m_ranges.size() < internal::kMaxSplitRanges) {
+    if (!aRange.m_owner.m_name.empty() && m_ranges.size() < kMaxSplitRanges) {
       SplitForRedistribution(aRange.m_range);
     }
     const auto* target = ChooseTarget(aRange);
@@ -409,80 +405,6 @@
                                   { aRange.m_range, aRange.m_fence } });
 }
 
-template<typename Rules>
-bool
-BasicRangeManager<Rules>::HasToStore() const
-{
-  return std::any_of(m_ranges.begin(), m_ranges.end(), [](const auto& aOne) {
-    return aOne.second.m_phase == Phase::ToStore;
-  });
-}
-
-template<typename Rules>
-auto
-BasicRangeManager<Rules>::BeginStore() -> std::vector<StoreBlock>
-{
-  std::set<unsigned> blocks;
-  m_keysCounted = false;
-  for (auto& [first, range] : m_ranges) {
-    if (range.m_phase != Phase::ToStore) {
-      continue;
-    }
-    const auto* target = Endpoint(range.m_target);
-    if (target == nullptr || !target->m_usable || target->m_dead) {
-      const auto* other = ChooseTarget(range);
-      if (other == nullptr) {
-        continue;
-      }
-      range.m_target = other->m_incarnation;
-    }
-    range.m_phase = Phase::Storing;
-    range.m_fence = m_nextFence++;
-    blocks.insert(first / kBlockKeys);
-  }
-  std::vector<StoreBlock> stored;
-  for (const unsigned block : blocks) {
-    StoreBlock& one = stored.emplace_back();
-    one.m_block = block;
-    const auto begin =
-      m_ranges.lower_bound(static_cast<Key>(block * kBlockKeys));
-    for (auto at = begin;
-         at != m_ranges.end() && at->first / kBlockKeys == block;
-         ++at) {
-      const auto& range = at->second;
-      const auto& owner =
-        range.m_phase == Phase::Storing ? range.m_target : range.m_owner;
-      if (!owner.m_name.empty()) {
-        one.m_assignments.push_back({ range.m_range, owner, range.m_fence });
-      }
-    }
-  }
-  return stored;
-}
-
-template<typename Rules>
-void
-BasicRangeManager<Rules>::OnStored(TimePoint aNow)
-{
-  for (auto& [first, range] : m_ranges) {
-    if (range.m_phase != Phase::Storing) {
-      continue;
-    }
-    range.m_phase = Phase::Held;
-    range.m_owner = std::exchange(range.m_target, {});
-    range.m_needsFence = false;
-    range.m_answeredFence = 0;
-    range.m_unansweredFence = 0;
-    range.m_unansweredExpiry = {};
-    range.m_latestExpiry = {};
-    range.m_expectedExpiry = {};
-    range.m_dueAt = aNow;
-    range.m_granted = false;
-    m_changed.insert(first);
-    Publish(range);
-  }
-}
-
 template<typename Rules>
 auto
 BasicRangeManager<Rules>::Ranges() const -> std::vector<Held>
--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -211,9 +211,8 @@
     auto* busiest = Busiest(loads);
     // A new endpoint receives its part even if no endpoint is busy.
     const auto* newcomer = SmallestNewcomer(loads, mean);
-    const bool isBusy =
-      busiest != nullptr && busiest->LowerBoundShare() > maxShare;
-    if (busiest == nullptr || (!isBusy && newcomer == nullptr)) {
+    if (busiest == nullptr ||
+        (busiest->LowerBoundShare() <= maxShare && newcomer == nullptr)) {
       break;
     }
     double maxRate = kUnlimitedRate;
@@ -259,9 +258,9 @@
   return busiest;
 }
 
-/** Moves one piece of at most a rate off an endpoint: the busiest piece that
-   another endpoint can take without becoming as busy. Returns false if there is
-   none. */
+/** Moves one piece off an endpoint: the busiest piece that another endpoint can
+    take without becoming as busy. The first call splits the endpoint's ranges
+    into pieces of at most aMaxPieceRate. Returns false if there is none. */
 bool
 RangePlanner::MoveOne(Load& aFrom,
                       double aMaxPieceRate,
--- a/src/sapphirehook/keys/range_planner.hpp
+++ b/src/sapphirehook/keys/range_planner.hpp
@@ -39,10 +39,9 @@
   double m_maxLoadRatio = 0.9;
   /** Largest number of ranges that move in one round. */
   std::size_t m_maxMoves = 48;
-  /** Number of ranges above which none is split, since each range costs
-      renewals. Whole ranges then move only off overloaded endpoints, and to
-      endpoints without any. */
-  std::size_t m_maxRanges = 1500;
+  /** Number of ranges above which none is split. Whole ranges then move only
+      off overloaded endpoints, and to endpoints without any. */
+  std::size_t m_maxRanges = kMaxSplitRanges;
 };
 
 /** An endpoint and its capacity. */
--- a/test/sapphirehook/gateway/engine_fixture.hpp
+++ b/test/sapphirehook/gateway/engine_fixture.hpp
@@ -72,6 +72,24 @@
                                        aBody));
   }
 
+  /** Sends the beginning of an answer with status 200 and a longer body, and
+      closes. */
+  static void ReplyTruncated(Connection& aConnection,
+                             const RequestHead& aHead,
+                             std::size_t aStatedSize,
+                             const std::string& aPart)
+  {
+    const auto* id = FindHeader(aHead.m_headers, "X-Sapphirehook-Attempt-Id");
+    aConnection.m_stream->Write(
+      Concat("HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: ",
+             *id,
+             "\r\nContent-Length: ",
+             aStatedSize,
+             "\r\n\r\n",
+             aPart));
+    aConnection.m_stream->CloseAfterWrite();
+  }
+
   Script m_script = [](Connection& aConnection, RequestHead& aHead) {
     Serve(aConnection, aHead);
   };
--- a/test/sapphirehook/gateway/pipelined_requests.cpp
+++ b/test/sapphirehook/gateway/pipelined_requests.cpp
@@ -138,13 +138,8 @@
   SECTION("the answer in front is truncated")
   {
     fixture.SetScript([&](auto& aConnection, auto& aHead) {
-      const auto* id = FindHeader(aHead.m_headers, "X-Sapphirehook-Attempt-Id");
-      aConnection.m_stream->Write(
-        Concat("HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: ",
-               *id,
-               "\r\nContent-Length: 300000\r\n\r\n",
-               std::string(150'000, 'x')));
-      aConnection.m_stream->CloseAfterWrite();
+      ScriptedEndpoint::ReplyTruncated(
+        aConnection, aHead, 300'000, std::string(150'000, 'x'));
     });
     fixture.Send(Request("/safe/x", "front") + Request("/once/x", "once"));
   }
@@ -166,11 +161,8 @@
         ScriptedEndpoint::Serve(aConnection, head);
       });
     } else if (id == "cut") {
-      aConnection.m_stream->Write(
-        Concat("HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: cut\r\n"
-               "Content-Length: 300000\r\n\r\n",
-               std::string(100'000, 'x')));
-      aConnection.m_stream->CloseAfterWrite();
+      ScriptedEndpoint::ReplyTruncated(
+        aConnection, aHead, 300'000, std::string(100'000, 'x'));
     } else {
       ScriptedEndpoint::Serve(aConnection, aHead);
     }
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -112,12 +112,7 @@
   SECTION("a small truncated answer becomes a failure")
   {
     fixture.SetScript([](auto& aConnection, auto& aHead) {
-      const auto* id = FindHeader(aHead.m_headers, "X-Sapphirehook-Attempt-Id");
-      aConnection.m_stream->Write(
-        Concat("HTTP/1.1 200 OK\r\nX-Sapphirehook-Attempt-Id: ",
-               *id,
-               "\r\nContent-Length: 100\r\n\r\nhalf"));
-      aConnection.m_stream->CloseAfterWrite();
+      ScriptedEndpoint::ReplyTruncated(aConnection, aHead, 100, "half");
     });
     CHECK(Fixture::HasStatus(fixture.Ask("/once/x", "a"), 502));
   }
--- a/test/support/start_replay.hpp
+++ b/test/support/start_replay.hpp
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -110,7 +109,6 @@
 private:
   static constexpr sapphirehook::Millis kStep{ 50 };
   static constexpr sapphirehook::Millis kPlanInterval{ 200 };
-
   static constexpr double kRequestsPerSpeed = 15.0;
 
   [[nodiscard]] static std::string Name(std::size_t aIndex)
@@ -225,7 +223,8 @@
   void Plan(const std::vector<sapphirehook::RangeManagerEndpoint>& aKnown)
   {
     if (m_now >= m_start.m_trafficAt && m_start.m_requestsPerSecond > 0.0) {
-      const double mean = m_start.m_requestsPerSecond * 0.2;
+      const std::chrono::duration<double> interval = kPlanInterval;
+      const double mean = m_start.m_requestsPerSecond * interval.count();
       std::poisson_distribution<std::uint32_t> count(mean);
       std::map<sapphirehook::Key, std::uint32_t> counts;
       for (auto left = count(m_random); left > 0; --left) {
