--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")" || exit 2
+export TROUBLE="${TROUBLE:-1}"
+exec python3 -B case.py
