--- a/review/3/case.py
+++ b/review/3/case.py
@@ -107,6 +107,7 @@
         while not self.stopped:
             count += 1
             attempt = f"{number:04x}{count:012x}"
+            self.record(f"{attempt} charge sent")
             try:
                 connection.sendall(
                     head("/charge/1", attempt, CHARGE_TIMEOUT_MS, 4) + b"body"
@@ -124,6 +125,7 @@
             rest = answer[2]
             while len(rest) < size:
                 rest += connection.recv(65536)
+            self.record(f"{attempt} charge: {answer[0]}")
             with self.lock:
                 self.answered += 1
 
@@ -192,6 +194,9 @@
         caller.join(3)
     reached = {a for server in billing_servers for a in server.runs}
     lost = [attempt for attempt in charges.cut if attempt in reached]
+    for server in billing_servers + docs_servers:
+        for attempt, runs in server.runs.items():
+            record(f"{attempt} ran {runs} time(s) at {server.name}")
     for attempt in lost:
         record(f"{attempt} had been passed on to a sound server")
     record(
