A refused connection is no proof that an endpoint has ended

Cause: two refused connections 100 ms apart, with none left, counted as the end of the endpoint. The new leader never has a connection, so refusals alone decided, and the keys moved without a release and without the wait for the lease. A cut that refuses connections looks the same from outside.

Ruled out: a longer series of refusals, or a list read after them. A cut outlasts both, and an endpoint may be cut off from the store as well.

Change: the evidence is gone, with the extra reads of the list that served it. Keys leave an endpoint once it has answered a release or its last lease has expired. The search now runs whole leaderships on three hosts, and has endpoints that refuse and endpoints that are cut off.

Why it works: what decides is now said by the endpoint itself or bounded by the lease that it holds.

--- a/src/sapphirehook/gateway/endpoint_commands.cpp
+++ b/src/sapphirehook/gateway/endpoint_commands.cpp
@@ -21,9 +21,6 @@
 /** Time after the last unanswered command for which the endpoint counts as
     unresponsive. After it, commands are tried again. */
 constexpr Millis kUnresponsiveRetryAfter{ 3000 };
-/** Two refused connections at least this far apart mean that the process has
-    ended. */
-constexpr Millis kRefusalSpacing{ 100 };
 /** Number of connections for grants to an endpoint. */
 constexpr std::size_t kGrantClients = 2;
 
@@ -48,18 +45,6 @@
   }
 }
 
-bool
-EndpointCommands::HasConnection() const
-{
-  return std::any_of(
-           m_grantClients.begin(),
-           m_grantClients.end(),
-           [](const auto& aOne) { return aOne.m_client->IsConnected(); }) ||
-         std::any_of(m_releaseClients.begin(),
-                     m_releaseClients.end(),
-                     [](const auto& aOne) { return aOne->IsConnected(); });
-}
-
 bool
 EndpointCommands::HasTrusted() const
 {
@@ -185,7 +170,7 @@
       }
     }
   }
-  RecordResult(aResult, *aClient.m_client);
+  RecordResult(aResult);
   m_events.m_onGrantEnd(aId, m_protocol.m_parseCommandResult(aResult));
   SendNext();
 }
@@ -208,7 +193,7 @@
                kReleaseTimeout,
                [this, client, id = aRelease.m_id](const CallResult& aResult) {
                  if (aResult.m_end != CallEnd::NoAnswer) {
-                   RecordResult(aResult, *client);
+                   RecordResult(aResult);
                  }
                  // If the endpoint sends the answer twice, the second copy must
                  // not count as the answer to the next release.
@@ -219,27 +204,16 @@
 }
 
 void
-EndpointCommands::RecordResult(const CallResult& aResult,
-                               const HttpClient& aClient)
+EndpointCommands::RecordResult(const CallResult& aResult)
 {
   const TimePoint now = BootClock::now();
   if (aResult.m_end == CallEnd::Answered) {
     m_answeredAt = now;
     m_unanswered = 0;
-    m_firstRefusalAt = {};
-    m_refusedSince.reset();
-    m_announcedClose = !aClient.IsConnected();
     return;
   }
   ++m_unanswered;
   m_lastUnansweredAt = now;
-  if (aResult.m_end != CallEnd::Refused || HasConnection()) {
-    m_firstRefusalAt = {};
-  } else if (m_firstRefusalAt == TimePoint{}) {
-    m_firstRefusalAt = now;
-  } else if (now >= m_firstRefusalAt + kRefusalSpacing && !m_refusedSince) {
-    m_refusedSince = now;
-  }
 }
 
 bool
--- a/src/sapphirehook/gateway/endpoint_commands.hpp
+++ b/src/sapphirehook/gateway/endpoint_commands.hpp
@@ -55,15 +55,6 @@
       old. */
   [[nodiscard]] bool IsUnresponsive(TimePoint aNow) const noexcept;
 
-  /** Returns since when no process has listened at the address: connections
-      were refused repeatedly, no connection is left, and the endpoint had not
-      announced that it closes. A leaving endpoint stops listening while it
-      still works, so an announced close does not count. */
-  [[nodiscard]] std::optional<TimePoint> RefusedSince() const noexcept
-  {
-    return m_announcedClose ? std::nullopt : m_refusedSince;
-  }
-
   [[nodiscard]] const EndpointIncarnation& Incarnation() const noexcept
   {
     return m_incarnation;
@@ -72,7 +63,7 @@
 private:
   void SendNext();
   void DropQueue();
-  void RecordResult(const CallResult& aResult, const HttpClient& aClient);
+  void RecordResult(const CallResult& aResult);
   /** Connection that sends grants. */
   struct GrantClient
   {
@@ -94,7 +85,6 @@
   void RequestNewFences();
   [[nodiscard]] GrantClient* FreeClient(bool aTrusted);
   [[nodiscard]] bool HasTrusted() const;
-  [[nodiscard]] bool HasConnection() const;
 
   EventLoop& m_loop;
   const GatewayProtocol& m_protocol;
@@ -108,16 +98,11 @@
   TimePoint m_answeredAt;
   TimePoint m_lastUnansweredAt{};
   unsigned m_unanswered = 0;
-  TimePoint m_firstRefusalAt{};
   /** Whether a grant has been sent since the owner last issued new fences. */
   bool m_sentWithCurrentFences = false;
   /** Whether the first grant since then is still in flight. */
   bool m_firstInFlight = false;
   bool m_renewingFences = false;
-  std::optional<TimePoint> m_refusedSince;
-  /** Whether the endpoint's last answer announced the close of its
-      connection. */
-  bool m_announcedClose = false;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -28,10 +28,6 @@
     lapsed. Entries lapse after three missed heartbeats, and the first of them
     may have been due just when the outage began. */
 constexpr int kHeartbeatsToLapse = 2;
-/** Shortest time between two extra reads of the list of endpoints. The leader
-    reads it to find out whether an endpoint that refuses connections is
-    leaving. */
-constexpr Millis kEndpointProbeInterval{ 200 };
 /** Upper limit of the difference between the wall clocks of two hosts, which
     may jump by seconds. */
 constexpr Millis kMaxClockDifference{ 60'000 };
@@ -185,9 +181,6 @@
     return m_registry.IsListed() ||
            BootClock::now() >= m_startedAt + kMaxHostListWait;
   };
-  m_ownership.m_listReadAt = [this](TimePoint aWanted) {
-    return EndpointsReadAt(aWanted);
-  };
   m_engine.m_routesMayBeStale = [this] {
     const auto& readSchedule =
       m_topicStates.at(m_protocol.m_configTopic).m_readSchedule;
@@ -384,19 +377,6 @@
   }
 }
 
-TimePoint
-Gateway::EndpointsReadAt(TimePoint aWanted)
-{
-  const TimePoint readAt =
-    m_topicStates.at(m_protocol.m_endpointTopic).m_ownConfirmation.m_askedAt;
-  const TimePoint now = BootClock::now();
-  if (readAt < aWanted && now >= m_probedAt + kEndpointProbeInterval) {
-    m_probedAt = now;
-    m_endpointReader.Probe();
-  }
-  return readAt;
-}
-
 void
 Gateway::WriteRateLimited(const std::string& aTopic, const LogLine& aLine)
 {
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -91,7 +91,6 @@
   [[nodiscard]] bool RelaysAnyTopic() const;
   void OnStopTick();
   [[nodiscard]] bool IsReady() const;
-  [[nodiscard]] TimePoint EndpointsReadAt(TimePoint aWanted);
   [[nodiscard]] std::string Metrics() const;
 
   GatewaySettings m_settings;
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -80,10 +80,6 @@
   /** Called when this daemon becomes the leader. */
   std::function<void()> m_onLeadershipGained;
 
-  /** Returns when the list of endpoints was last read to its end. If that was
-      before aWanted, also starts a new read. */
-  std::function<TimePoint(TimePoint aWanted)> m_listReadAt;
-
   /** Returns whether this daemon knows the other hosts, so that its place in
       their order means something. Until then it neither claims leadership nor
       reads the store before the others. Optional. */
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -112,13 +112,6 @@
     if (commands != m_commands.end() &&
         commands->second->Incarnation() == endpoint.m_incarnation) {
       endpoint.m_unresponsive = commands->second->IsUnresponsive(aNow);
-      const auto refused = commands->second->RefusedSince();
-      const bool asks = refused && m_listReadAt;
-      endpoint.m_dead =
-        HasEnded({ refused,
-                   known.m_removedAt.has_value(),
-                   known.m_record.m_draining,
-                   asks ? m_listReadAt(*refused) : TimePoint{} });
     }
     endpoint.m_capacity = m_engine.CapacityOf(name);
     endpoints.push_back(std::move(endpoint));
@@ -247,7 +240,7 @@
     const auto ranges = ledService.m_rangeManager.Ranges();
     std::vector<PlannerEndpoint> endpoints;
     for (const auto& endpoint : ManagerEndpoints(now, name)) {
-      if (endpoint.m_usable && !endpoint.m_unresponsive && !endpoint.m_dead) {
+      if (endpoint.m_usable && !endpoint.m_unresponsive) {
         endpoints.push_back(
           { endpoint.m_incarnation.m_name, endpoint.m_capacity });
       }
--- a/src/sapphirehook/keys/range_manager.hpp
+++ b/src/sapphirehook/keys/range_manager.hpp
@@ -3,7 +3,6 @@
 
 #include "sapphirehook/keys/range_map.hpp"
 
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,9 +37,12 @@
     that the checks then find two holders. */
 struct RangeManagerRules
 {
-  /** A range is transferred only when its holder has released it, is known to
-      be dead, or has no lease that may still be valid. */
+  /** A range is transferred only when its holder has released it or has no
+      lease that may still be valid. */
   static constexpr bool kWaitForLeaseExpiry = true;
+  /** An endpoint that refuses connections may be cut off and still hold its
+      ranges. */
+  static constexpr bool kRefusalKeepsLease = true;
   /** Before a release, the leader sends a grant with a fence above that of
       every grant that the endpoint may still execute. */
   static constexpr bool kFenceBeforeRelease = true;
@@ -68,36 +70,10 @@
   bool m_usable = false;
   /** The endpoint has not answered for too long. */
   bool m_unresponsive = false;
-  /** This incarnation has certainly ended. */
-  bool m_dead = false;
   /** Capacity relative to other endpoints. */
   double m_capacity = 1.0;
 };
 
-/** Evidence from which the leader concludes that an endpoint has ended. */
-struct EndEvidence
-{
-  /** Since when the endpoint's port has refused connections, after all earlier
-      connections broke unannounced. */
-  std::optional<TimePoint> m_refusedSince;
-  bool m_removed = false;
-  bool m_draining = false;
-  /** The list of endpoints was read at this time or later. */
-  TimePoint m_listReadAt{};
-};
-
-/** Whether an endpoint has certainly ended, so that it holds nothing. A leaving
-    endpoint refuses connections while it still works, and a list that was read
-    before the refusal does not show that the endpoint is leaving. In both cases
-    the manager waits for the expiry of the endpoint's leases. */
-[[nodiscard]] constexpr bool
-HasEnded(const EndEvidence& aEvidence) noexcept
-{
-  return aEvidence.m_refusedSince &&
-         aEvidence.m_listReadAt >= *aEvidence.m_refusedSince &&
-         !aEvidence.m_removed && !aEvidence.m_draining;
-}
-
 /** A grant that is to be sent to an endpoint. */
 struct EndpointGrant
 {
@@ -269,7 +245,7 @@
       range to its count. Returns null if no endpoint may receive a range. */
   [[nodiscard]] const RangeManagerEndpoint* ChooseTarget(const Range& aRange);
   [[nodiscard]] bool OwnerIsUsable(const Range& aRange) const;
-  [[nodiscard]] bool OwnerIsDead(const Range& aRange) const;
+  [[nodiscard]] bool MayHaveHolder(const Range& aRange) const;
   void TrackOwnerRestart(Range& aRange);
   void BeginMove(TimePoint aNow, Range& aRange, const EndpointIncarnation& aTo);
   void TickRange(TimePoint aNow, Range& aRange, RangeManagerActions& aActions);
--- a/src/sapphirehook/keys/range_manager_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_impl.hpp
@@ -97,26 +97,27 @@
 BasicRangeManager<Rules>::OwnerIsUsable(const Range& aRange) const
 {
   const auto* owner = Endpoint(aRange.m_owner);
-  return owner != nullptr && owner->m_usable && !owner->m_unresponsive &&
-         !owner->m_dead;
+  return owner != nullptr && owner->m_usable && !owner->m_unresponsive;
 }
 
+/** Whether an endpoint may hold the range. No message from outside an endpoint
+    proves its end: a cut refuses or resets connections like an ended process.
+ */
 template<typename Rules>
 bool
-BasicRangeManager<Rules>::OwnerIsDead(const Range& aRange) const
+BasicRangeManager<Rules>::MayHaveHolder(const Range& aRange) const
 {
   if (aRange.m_owner.m_name.empty()) {
-    return true; // no endpoint has ever held the range
+    return false; // no endpoint has ever held the range
   }
   if constexpr (!Rules::kTrackOwnerRestart) {
     const auto later = m_endpoints.upper_bound(aRange.m_owner);
     if (later != m_endpoints.end() &&
         later->first.m_name == aRange.m_owner.m_name) {
-      return true;
+      return false;
     }
   }
-  const auto* owner = Endpoint(aRange.m_owner);
-  return owner != nullptr && owner->m_dead;
+  return true;
 }
 
 /** Assigns a range to the next incarnation of its owner if the owner has
@@ -240,8 +241,12 @@
         aRange.m_needsFence = true;
         aRange.m_dueAt = aNow + m_times.m_retryAfter;
         break;
-      case CommandOutcome::Rejected:
       case CommandOutcome::Refused:
+        if constexpr (!Rules::kRefusalKeepsLease) {
+          aRange.m_latestExpiry = aNow;
+        }
+        [[fallthrough]];
+      case CommandOutcome::Rejected:
       case CommandOutcome::NotSent:
         aRange.m_dueAt = aNow + m_times.m_retryAfter;
         break;
@@ -376,13 +381,13 @@
                                         Range& aRange,
                                         RangeManagerActions& aActions)
 {
-  const bool dead = OwnerIsDead(aRange);
-  if (Rules::kReleaseAfterRenewal && aRange.m_grantId != 0 && !dead) {
+  const bool held = MayHaveHolder(aRange);
+  if (Rules::kReleaseAfterRenewal && aRange.m_grantId != 0 && held) {
     return;
   }
   const bool expired =
     aNow >= aRange.m_latestExpiry || !Rules::kWaitForLeaseExpiry;
-  if (dead || expired) {
+  if (!held || expired) {
     aRange.m_phase = Phase::ToStore;
     aRange.m_grantId = 0;
     aRange.m_releaseId = 0;
--- a/src/sapphirehook/keys/range_manager_ranges_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_ranges_impl.hpp
@@ -67,7 +67,7 @@
   const RangeManagerEndpoint* best = nullptr;
   double bestLoad = 0.0;
   for (const auto& [incarnation, endpoint] : m_endpoints) {
-    if (!endpoint.m_usable || endpoint.m_unresponsive || endpoint.m_dead) {
+    if (!endpoint.m_usable || endpoint.m_unresponsive) {
       continue;
     }
     const double load = m_keyCounts[incarnation] /
@@ -184,7 +184,7 @@
     std::find_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aOne) {
       const auto& endpoint = aOne.second;
       return endpoint.m_incarnation.m_name == aTo && endpoint.m_usable &&
-             !endpoint.m_unresponsive && !endpoint.m_dead;
+             !endpoint.m_unresponsive;
     });
   if (target == m_endpoints.end()) {
     return;
--- a/src/sapphirehook/keys/range_manager_store_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_store_impl.hpp
@@ -31,7 +31,7 @@
       continue;
     }
     const auto* target = Endpoint(range.m_target);
-    if (target == nullptr || !target->m_usable || target->m_dead) {
+    if (target == nullptr || !target->m_usable) {
       const auto* other = ChooseTarget(range);
       if (other == nullptr) {
         continue;
--- a/test/sapphirehook/gateway/ownership.cpp
+++ b/test/sapphirehook/gateway/ownership.cpp
@@ -181,3 +181,22 @@
   CHECK(daemon.m_ownership.ReaderIndex(BootClock::now()) == 0U);
   CHECK(fixture.Until([&] { return daemon.m_ownership.Leads(); }));
 }
+
+// Guards against two holders: a cut that refuses new connections was taken for
+// the end of an endpoint that still served its keys over open connections.
+TEST_CASE("a leader leaves the keys of a listed endpoint that refuses its "
+          "connections until their lease expires",
+          "[gateway]")
+{
+  Fixture fixture;
+  Daemon earlier(fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 1);
+  fixture.GrantAllToOne(earlier);
+  fixture.m_one.m_server.StopListening();
+  fixture.m_one.m_server.ResetAll();
+  Daemon daemon(fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 2);
+  daemon.List(fixture.m_one);
+  daemon.List(fixture.m_two);
+  REQUIRE(fixture.Until([&] { return daemon.m_ownership.Leads(); }));
+  CHECK_FALSE(support::RunUntil(
+    fixture.m_loop, [&] { return daemon.IsAt(0, "two"); }, Millis(2000)));
+}
--- /dev/null
+++ b/test/sapphirehook/keys/range_simulation.hpp
@@ -0,0 +1,658 @@
+#ifndef TEST_SAPPHIREHOOK_KEYS_RANGE_SIMULATION_HPP
+#define TEST_SAPPHIREHOOK_KEYS_RANGE_SIMULATION_HPP
+
+#include "sapphirehook/core/text.hpp"
+#include "sapphirehook/keys/leadership.hpp"
+#include "sapphirehook/keys/range_manager_impl.hpp"
+#include "support/generate.hpp"
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <set>
+
+namespace sapphirehook::simulation {
+
+constexpr std::size_t kCells = 64;
+constexpr std::uint32_t kCellKeys = kKeyCount / kCells;
+constexpr Millis kAuthority{ 3000 };
+/** A leader resets a connection on which a command has no answer for this long.
+ */
+constexpr Millis kCallTimeout{ 350 };
+
+/** Rules of the simulated network and processes, next to those of the range
+    manager. Tests switch off one at a time. */
+struct Rules : RangeManagerRules
+{
+  /** When a process ends, its connections for commands are reset, so that the
+      bytes that have not arrived yet are lost. */
+  static constexpr bool kEndResetsConnections = true;
+};
+
+/** An endpoint that follows the protocol for grants and releases: it rejects a
+    fence below the highest it has received, a lease starts when the command
+    arrives, and the clock may be 2% slow. */
+struct FakeEndpoint
+{
+  struct Cell
+  {
+    Fence m_highestFence = 0;
+    TimePoint m_leaseExpiry{};
+  };
+
+  EndpointIncarnation m_incarnation;
+  double m_slowness = 1.0;
+  /** New connections are refused until this time. Open ones still work. */
+  TimePoint m_refusesUntil{};
+  /** Nothing arrives until this time. */
+  TimePoint m_cutUntil{};
+  std::array<Cell, kCells> m_cells;
+};
+
+struct SentCommand
+{
+  Term m_term = 0;
+  bool m_isGrant = false;
+  std::uint64_t m_id = 0;
+  std::string m_endpoint;
+  std::int64_t m_incarnation = 0;
+  GrantCommand m_grant;
+  TimePoint m_arrivesAt{};
+  TimePoint m_appliesAt{};
+  /** When the sender resets the connection without an answer. */
+  TimePoint m_timesOutAt{};
+  bool m_answered = true;
+  /** The sender no longer waits for the answer. */
+  bool m_abandoned = false;
+};
+
+struct SentHeartbeat
+{
+  std::size_t m_to = 0;
+  HostId m_from;
+  Term m_term = 0;
+  bool m_leads = false;
+  TimePoint m_arrivesAt{};
+};
+
+/** Simulates leaders on three hosts whose processes are killed, restarted under
+    higher numbers, and paused; four endpoints that crash, restart, refuse
+    connections and are cut off; commands that are lost, delayed or held up by a
+    cut; late heartbeats; and ranges that move at random. A replaced leader
+    continues until its authority ends. The key space is divided into cells of
+    equal size. Reports a violation when a cell has two holders, or when its
+    fence does not increase from one holder to the next. */
+template<typename Rules>
+class Simulation
+{
+public:
+  explicit Simulation(unsigned aSeed)
+    : m_random(aSeed)
+  {
+    for (int i = 0; i < 4; ++i) {
+      FakeEndpoint endpoint;
+      endpoint.m_incarnation = { "e" + std::to_string(i), 1 };
+      endpoint.m_slowness = 1.0 + 0.02 * static_cast<double>(Draw(2));
+      m_endpoints.push_back(endpoint);
+      m_listed.push_back(endpoint.m_incarnation);
+    }
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+      StartProcess(i);
+    }
+    Claim(0);
+  }
+
+  /** Runs up to the given time and returns the first violation, if any. */
+  std::string Run(Millis aTime)
+  {
+    while (m_now < TimePoint(aTime) && m_violation.empty()) {
+      m_now += Millis(5 + static_cast<int>(Draw(25)));
+      Step();
+    }
+    return m_violation;
+  }
+
+  [[nodiscard]] unsigned Moves() const { return m_moves; }
+  [[nodiscard]] unsigned Terms() const { return m_terms; }
+  [[nodiscard]] unsigned HeldCellSteps() const { return m_heldCellSteps; }
+
+private:
+  using Manager = BasicRangeManager<Rules>;
+
+  /** What a leader of one term keeps. */
+  struct Leader
+  {
+    Term m_term = 0;
+    std::unique_ptr<Manager> m_manager;
+    /** Incarnations to which there are connections, by endpoint. */
+    std::map<std::string, std::int64_t> m_connections;
+  };
+
+  struct Process
+  {
+    HostId m_id;
+    std::unique_ptr<Leadership> m_leadership;
+    std::optional<Leader> m_leads;
+    TimePoint m_pausedUntil{};
+  };
+
+  std::uint64_t Draw(std::uint64_t aLimit)
+  {
+    return support::Draw(m_random, aLimit);
+  }
+
+  [[nodiscard]] Millis DrawMillis(std::uint64_t aLimit)
+  {
+    return Millis(static_cast<std::int64_t>(Draw(aLimit)));
+  }
+
+  static LeadershipTimes Times()
+  {
+    LeadershipTimes times;
+    times.m_authority = kAuthority;
+    times.m_leaseDuration = RangeManagerTimes{}.m_leaseDuration;
+    times.m_commandTimeout = RangeManagerTimes{}.m_commandTimeout;
+    return times;
+  }
+
+  /** Starts the next process on a host. */
+  void StartProcess(std::size_t aHost)
+  {
+    Process process;
+    process.m_id = { "h" + std::to_string(aHost), ++m_lastNumber };
+    process.m_leadership =
+      std::make_unique<Leadership>(Times(), process.m_id, 1.0, m_now);
+    m_hosts.at(aHost) = std::move(process);
+  }
+
+  void EndProcess(std::size_t aHost)
+  {
+    auto& process = m_hosts.at(aHost);
+    if (process.m_leads) {
+      StopLeading(process, Rules::kEndResetsConnections);
+    }
+  }
+
+  /** Ends a leader's commands. If its connections are reset, the commands that
+      have not arrived yet are lost. */
+  void StopLeading(Process& aProcess, bool aResets)
+  {
+    for (auto& command : m_commands) {
+      if (command.m_term == aProcess.m_leads->m_term) {
+        command.m_abandoned = true;
+        command.m_timesOutAt = aResets ? m_now : TimePoint::max();
+      }
+    }
+    aProcess.m_leads.reset();
+  }
+
+  /** Suspends a host. What it has not sent yet follows at the end of the pause,
+      unless the process then resets the connection first. */
+  void Pause(Process& aProcess, TimePoint aUntil)
+  {
+    aProcess.m_pausedUntil = aUntil;
+    for (auto& command : m_commands) {
+      if (aProcess.m_leads && command.m_term == aProcess.m_leads->m_term &&
+          command.m_arrivesAt > m_now) {
+        command.m_arrivesAt = std::max(command.m_arrivesAt, aUntil + Millis(1));
+        command.m_appliesAt =
+          std::max(command.m_appliesAt, command.m_arrivesAt);
+        command.m_timesOutAt = std::max(command.m_timesOutAt, aUntil);
+      }
+    }
+  }
+
+  /** Appends a claim of the next term. */
+  void Claim(std::size_t aHost)
+  {
+    auto& process = m_hosts.at(aHost);
+    if (m_term != 0) {
+      process.m_leadership->OnRecord(m_now, m_record);
+    }
+    if (process.m_leads) {
+      return;
+    }
+    ++m_terms;
+    ++m_term;
+    process.m_leadership->OnClaimed(m_now, m_term);
+    m_record = process.m_leadership->RecordFor(m_now, m_term, 0);
+    Leader leader;
+    leader.m_term = m_term;
+    leader.m_manager =
+      std::make_unique<Manager>(RangeManagerTimes{},
+                                (static_cast<Fence>(m_term) << 20U) + 1,
+                                process.m_leadership->PreviousGrantsExpiry());
+    for (const auto& [block, assignments] : m_stored) {
+      for (const auto& assignment : assignments) {
+        leader.m_manager->Load(assignment, m_now + Millis(1500));
+      }
+    }
+    leader.m_manager->CoverAll(16);
+    process.m_leads = std::move(leader);
+    m_storing = false;
+  }
+
+  FakeEndpoint& Endpoint(const std::string& aName)
+  {
+    return m_endpoints.at(static_cast<std::size_t>(aName.back() - '0'));
+  }
+
+  std::vector<RangeManagerEndpoint> View()
+  {
+    std::vector<RangeManagerEndpoint> view;
+    for (const auto& incarnation : m_listed) {
+      view.push_back({ incarnation, true, Draw(30) == 0, 1.0 });
+    }
+    return view;
+  }
+
+  /** Sends a command over the leader's connection to the endpoint. If the
+      endpoint restarted since the last command, reports a new connection to the
+      manager and answers that the command was not sent. */
+  void Send(Leader& aLeader, SentCommand aCommand)
+  {
+    auto& endpoint = Endpoint(aCommand.m_endpoint);
+    auto& incarnation = aLeader.m_connections[aCommand.m_endpoint];
+    const auto actual = endpoint.m_incarnation.m_startedAt;
+    if (incarnation != actual && m_now < endpoint.m_refusesUntil) {
+      Answer(*aLeader.m_manager, aCommand, { CommandOutcome::Refused, "" });
+      return;
+    }
+    if (incarnation != actual || m_reconnected.contains(aCommand.m_endpoint)) {
+      const bool known = incarnation != 0;
+      incarnation = actual;
+      if (known) {
+        m_reconnected.insert(aCommand.m_endpoint);
+        aLeader.m_manager->OnNewConnection(m_now, aCommand.m_endpoint);
+        Answer(*aLeader.m_manager, aCommand, { CommandOutcome::NotSent, "" });
+        return;
+      }
+    }
+    aCommand.m_term = aLeader.m_term;
+    aCommand.m_incarnation = actual;
+    aCommand.m_arrivesAt = m_now + Millis(1) + DrawMillis(20);
+    aCommand.m_timesOutAt = m_now + kCallTimeout;
+    if (m_now < endpoint.m_cutUntil) {
+      // The next retransmission succeeds some time after the end of the cut.
+      aCommand.m_arrivesAt = endpoint.m_cutUntil + DrawMillis(900);
+    }
+    aCommand.m_appliesAt = aCommand.m_arrivesAt;
+    if (Draw(5) == 0) {
+      aCommand.m_answered = false;
+      aCommand.m_appliesAt += DrawMillis(6000);
+    }
+    m_commands.push_back(aCommand);
+  }
+
+  void Answer(Manager& aManager,
+              const SentCommand& aCommand,
+              const CommandResult& aAnswer)
+  {
+    if (aCommand.m_isGrant) {
+      aManager.OnGrantEnd(m_now, aCommand.m_id, aAnswer);
+    } else {
+      aManager.OnReleaseEnd(m_now, aCommand.m_id, aAnswer);
+    }
+  }
+
+  Manager* LeaderOf(const SentCommand& aCommand)
+  {
+    if (aCommand.m_abandoned) {
+      return nullptr;
+    }
+    for (auto& process : m_hosts) {
+      if (process.m_leads && process.m_leads->m_term == aCommand.m_term) {
+        return process.m_leads->m_manager.get();
+      }
+    }
+    return nullptr;
+  }
+
+  void TickLeader(Process& aProcess)
+  {
+    if (!aProcess.m_leadership->Leads()) {
+      StopLeading(aProcess, true);
+      return;
+    }
+    if (!aProcess.m_leadership->HasAuthority(m_now)) {
+      return;
+    }
+    auto& leader = *aProcess.m_leads;
+    auto& manager = *leader.m_manager;
+    manager.SetConfirmedAt(aProcess.m_leadership->ConfirmedAt());
+    manager.SetPreviousGrantsExpiry(
+      m_now, aProcess.m_leadership->PreviousGrantsExpiry());
+    const bool fullTick = Draw(3) == 0;
+    if (fullTick) {
+      manager.SetEndpoints(View());
+    }
+    const auto actions =
+      fullTick ? manager.Tick(m_now) : manager.TickChanged(m_now);
+    m_reconnected.clear();
+    for (const auto& grant : actions.m_grants) {
+      SentCommand command;
+      command.m_isGrant = true;
+      command.m_id = grant.m_id;
+      command.m_endpoint = grant.m_endpoint;
+      command.m_grant = grant.m_command;
+      Send(leader, command);
+    }
+    for (const auto& release : actions.m_releases) {
+      SentCommand command;
+      command.m_id = release.m_id;
+      command.m_endpoint = release.m_endpoint;
+      command.m_grant.m_range = release.m_command.m_range;
+      command.m_grant.m_fence = release.m_command.m_fence;
+      Send(leader, command);
+    }
+  }
+
+  void Step()
+  {
+    Deliver();
+    ExchangeHeartbeats();
+    for (auto& process : m_hosts) {
+      if (!process.m_leads || m_now < process.m_pausedUntil) {
+        continue;
+      }
+      if (process.m_leads->m_term == m_term) {
+        process.m_leadership->OnTermConfirmed(m_now - Millis(50));
+      }
+      TickLeader(process);
+    }
+    Store();
+    InjectFaults();
+    InjectProcessFaults();
+    Check();
+  }
+
+  void Deliver()
+  {
+    std::deque<SentCommand> due;
+    std::erase_if(m_commands, [&](const SentCommand& aCommand) {
+      // A reset connection loses the bytes that have not arrived.
+      const bool isLost = aCommand.m_arrivesAt > aCommand.m_timesOutAt &&
+                          m_now >= aCommand.m_timesOutAt;
+      const bool isDue = !isLost && aCommand.m_appliesAt <= m_now;
+      if (isDue) {
+        due.push_back(aCommand);
+      }
+      if (isLost) {
+        if (auto* manager = LeaderOf(aCommand)) {
+          Answer(*manager, aCommand, { CommandOutcome::NoAnswer, "" });
+        }
+      }
+      return isDue || isLost;
+    });
+    for (const auto& command : due) {
+      auto answer = Apply(command);
+      auto* manager = LeaderOf(command);
+      if (command.m_answered && manager != nullptr) {
+        Answer(*manager, command, answer);
+      }
+    }
+    for (auto& command : m_commands) {
+      auto* manager = LeaderOf(command);
+      if (!command.m_answered && manager != nullptr &&
+          m_now >= command.m_timesOutAt) {
+        Answer(*manager, command, { CommandOutcome::NoAnswer, "" });
+        command.m_abandoned = true;
+      }
+    }
+    for (const auto& command : due) {
+      auto* manager = LeaderOf(command);
+      if (!command.m_answered && manager != nullptr) {
+        Answer(*manager, command, { CommandOutcome::NoAnswer, "" });
+      }
+    }
+  }
+
+  CommandResult Apply(const SentCommand& aCommand)
+  {
+    auto& endpoint = Endpoint(aCommand.m_endpoint);
+    if (endpoint.m_incarnation.m_startedAt != aCommand.m_incarnation) {
+      return { CommandOutcome::NoAnswer, "" };
+    }
+    const auto& range = aCommand.m_grant.m_range;
+    const std::size_t first = range.m_first / kCellKeys;
+    const std::size_t last = range.m_last / kCellKeys;
+    const Fence fence = aCommand.m_grant.m_fence;
+    if (aCommand.m_isGrant) {
+      for (auto cell = first; cell <= last; ++cell) {
+        if (endpoint.m_cells.at(cell).m_highestFence > fence) {
+          return { CommandOutcome::Fenced, "" };
+        }
+      }
+    }
+    for (auto cell = first; cell <= last; ++cell) {
+      auto& one = endpoint.m_cells.at(cell);
+      if (!aCommand.m_isGrant) {
+        // A release ends leases up to its fence and does not raise the highest
+        // fence.
+        one.m_leaseExpiry =
+          one.m_highestFence <= fence ? TimePoint{} : one.m_leaseExpiry;
+        continue;
+      }
+      const auto leaseDuration =
+        std::chrono::duration_cast<std::chrono::nanoseconds>(
+          aCommand.m_grant.m_leaseDuration * endpoint.m_slowness);
+      one.m_highestFence = fence;
+      one.m_leaseExpiry =
+        std::max(one.m_leaseExpiry, aCommand.m_arrivesAt + leaseDuration);
+      CheckFence(cell, endpoint.m_incarnation, fence);
+    }
+    return { CommandOutcome::Done, "handover" };
+  }
+
+  void CheckFence(std::size_t aCell,
+                  const EndpointIncarnation& aIncarnation,
+                  Fence aFence)
+  {
+    auto& fences = m_fences.at(aCell);
+    for (const auto& [incarnation, fence] : fences) {
+      const auto& endpoint = Endpoint(aIncarnation.m_name);
+      const bool holds = endpoint.m_cells.at(aCell).m_leaseExpiry > m_now;
+      if (incarnation != aIncarnation && fence >= aFence && holds) {
+        m_violation = Concat("fence ",
+                             aFence >> 20U,
+                             ".",
+                             aFence & 0xFFFFFU,
+                             " of ",
+                             aIncarnation.m_name,
+                             "#",
+                             aIncarnation.m_startedAt,
+                             " is not above ",
+                             fence >> 20U,
+                             ".",
+                             fence & 0xFFFFFU,
+                             " of ",
+                             incarnation.m_name,
+                             "#",
+                             incarnation.m_startedAt,
+                             " for cell ",
+                             aCell,
+                             " at ",
+                             SinceBoot(m_now).count());
+      }
+    }
+    auto& own = fences[aIncarnation];
+    own = std::max(own, aFence);
+  }
+
+  /** The leader whose appends the store accepts. */
+  Manager* NewestLeader()
+  {
+    for (auto& process : m_hosts) {
+      if (process.m_leads && process.m_leads->m_term == m_term) {
+        return process.m_leads->m_manager.get();
+      }
+    }
+    return nullptr;
+  }
+
+  void Store()
+  {
+    auto* manager = NewestLeader();
+    if (manager == nullptr) {
+      m_storing = false;
+      return;
+    }
+    if (m_storing && m_now >= m_storeEnds) {
+      m_storing = false;
+      manager->OnStored(m_now);
+      ++m_moves;
+    }
+    if (!m_storing && manager->HasToStore()) {
+      for (auto& block : manager->BeginStore()) {
+        m_stored[block.m_block] = block.m_assignments;
+      }
+      m_storing = true;
+      m_storeEnds = m_now + Millis(4) + DrawMillis(60);
+    }
+  }
+
+  /** Datagrams may be lost, and may arrive out of order. */
+  void ExchangeHeartbeats()
+  {
+    if (m_now >= m_heartbeatsAt) {
+      m_heartbeatsAt = m_now + Millis(200);
+      for (std::size_t from = 0; from < m_hosts.size(); ++from) {
+        const auto& process = m_hosts.at(from);
+        for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+          if (to == from || m_now < process.m_pausedUntil || Draw(10) == 0) {
+            continue;
+          }
+          const auto delay = DrawMillis(Draw(20) == 0 ? 3000 : 40);
+          m_heartbeats.push_back({ to,
+                                   process.m_id,
+                                   process.m_leadership->HighestTerm(),
+                                   process.m_leadership->Leads(),
+                                   m_now + delay });
+        }
+      }
+    }
+    std::erase_if(m_heartbeats, [&](const SentHeartbeat& aOne) {
+      auto& to = m_hosts.at(aOne.m_to);
+      if (m_now < aOne.m_arrivesAt || m_now < to.m_pausedUntil) {
+        return false;
+      }
+      to.m_leadership->OnHeartbeat(
+        m_now, aOne.m_from, aOne.m_term, aOne.m_leads, {});
+      if (to.m_leads && !to.m_leadership->Leads()) {
+        StopLeading(to, true);
+      }
+      return true;
+    });
+  }
+
+  void InjectFaults()
+  {
+    auto* manager = NewestLeader();
+    if (Draw(40) == 0 && manager != nullptr) {
+      const auto first = static_cast<std::uint32_t>(Draw(kCells)) * kCellKeys;
+      const auto cells = 1 + static_cast<std::uint32_t>(Draw(6));
+      const auto last = std::min(first + cells * kCellKeys, kKeyCount) - 1;
+      manager->Move(m_now,
+                    { static_cast<Key>(first), static_cast<Key>(last) },
+                    "e" + std::to_string(Draw(4)));
+    }
+    if (Draw(300) == 0) {
+      auto& endpoint = m_endpoints.at(Draw(4));
+      ++endpoint.m_incarnation.m_startedAt;
+      endpoint.m_cells = {};
+    }
+    if (Draw(400) == 0) {
+      m_endpoints.at(Draw(4)).m_refusesUntil = m_now + DrawMillis(6000);
+    }
+    if (Draw(400) == 0) {
+      m_endpoints.at(Draw(4)).m_cutUntil = m_now + DrawMillis(6000);
+    }
+    // The list of endpoints is updated with a delay.
+    if (Draw(60) == 0) {
+      const auto which = Draw(4);
+      m_listed.at(which) = m_endpoints.at(which).m_incarnation;
+    }
+  }
+
+  void InjectProcessFaults()
+  {
+    if (Draw(500) == 0) {
+      Claim(Draw(m_hosts.size()));
+    }
+    if (Draw(400) == 0) {
+      const auto host = Draw(m_hosts.size());
+      EndProcess(host);
+      StartProcess(host);
+    }
+    if (Draw(400) == 0) {
+      Pause(m_hosts.at(Draw(m_hosts.size())), m_now + DrawMillis(4000));
+    }
+    if (Draw(60) == 0) {
+      auto& reader = m_hosts.at(Draw(m_hosts.size()));
+      if (m_now >= reader.m_pausedUntil) {
+        reader.m_leadership->OnRecord(m_now, m_record);
+      }
+    }
+    if (NewestLeader() == nullptr && Draw(40) == 0) {
+      const auto host = Draw(m_hosts.size());
+      if (m_now >= m_hosts.at(host).m_pausedUntil) {
+        Claim(host);
+      }
+    }
+  }
+
+  void Check()
+  {
+    for (std::size_t cell = 0; cell < kCells; ++cell) {
+      int holders = 0;
+      for (const auto& endpoint : m_endpoints) {
+        holders += endpoint.m_cells.at(cell).m_leaseExpiry > m_now ? 1 : 0;
+      }
+      m_heldCellSteps += holders > 0 ? 1 : 0;
+      if (holders > 1) {
+        m_violation = "two holders of cell " + std::to_string(cell);
+      }
+    }
+  }
+
+  std::mt19937 m_random;
+  TimePoint m_now = TimePoint(Millis(1));
+  Term m_term = 0;
+  LeaderRecord m_record;
+  std::array<Process, 3> m_hosts;
+  std::vector<FakeEndpoint> m_endpoints;
+  std::vector<EndpointIncarnation> m_listed;
+  std::deque<SentCommand> m_commands;
+  std::deque<SentHeartbeat> m_heartbeats;
+  TimePoint m_heartbeatsAt{};
+  std::map<unsigned, std::vector<RangeAssignment>> m_stored;
+  /** Endpoints to which a leader reconnected while it sent the commands of one
+      tick. */
+  std::set<std::string> m_reconnected;
+  std::array<std::map<EndpointIncarnation, Fence>, kCells> m_fences;
+  bool m_storing = false;
+  TimePoint m_storeEnds{};
+  std::string m_violation;
+  std::uint64_t m_lastNumber = 0;
+  unsigned m_moves = 0;
+  unsigned m_terms = 0;
+  unsigned m_heldCellSteps = 0;
+};
+
+/** Returns the first violation found with the seeds from 1 to aSeeds. */
+template<typename Rules>
+std::string
+FirstViolation(unsigned aSeeds)
+{
+  for (unsigned seed = 1; seed <= aSeeds; ++seed) {
+    const auto violation = Simulation<Rules>(seed).Run(Millis(120'000));
+    if (!violation.empty()) {
+      return violation + ", seed " + std::to_string(seed);
+    }
+  }
+  return {};
+}
+
+} // namespace sapphirehook::simulation
+
+#endif
