Runs of a host are not put in order by their numbers

Cause: a run's number is the time of day of its start. The run that led had a lower number than the run before it on its host, so the earlier run counted as a later one, and its heartbeats of long ago as evidence that the leader had stopped then.

Change: numbers are compared for equality only. Another run on a leader's host is evidence of its end once it reports the leader's term or a later one. The same order is gone from the filter of late datagrams and from the choice to claim without a wait. Numbers get a random part, so that none occurs twice.

The tests that took any later number as evidence are replaced by ones in which the run knows the term; a run that does not know it must have no effect, whatever its number.

Why it works: a run that ended before the claim cannot know its term, and a host runs one process at a time, so a run that knows it began after the claimer.

--- a/src/sapphirehook/core/ids.hpp
+++ b/src/sapphirehook/core/ids.hpp
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREHOOK_CORE_IDS_HPP
 #define SAPPHIREHOOK_CORE_IDS_HPP
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -17,7 +18,8 @@
 /** Number of accepted records that changed a group or a layout. */
 using Version = std::uint64_t;
 
-/** One incarnation of a daemon on a host. */
+/** One incarnation of a daemon on a host. The numbers of two incarnations say
+    nothing of their order, since a host's clock may be set back. */
 struct HostId
 {
   std::string m_host;
@@ -27,6 +29,28 @@
   auto operator<=>(const HostId&) const = default;
 };
 
+/** Number of low bits of an incarnation that are random. */
+inline constexpr unsigned kIncarnationRandomBits = 16;
+
+/** Returns the number of an incarnation from the time of day at which it starts
+    and a random number. */
+[[nodiscard]] constexpr std::uint64_t
+MakeIncarnation(std::chrono::milliseconds aStartedAt, unsigned aRandom) noexcept
+{
+  constexpr std::uint64_t kRandomMask = (1U << kIncarnationRandomBits) - 1;
+  return (static_cast<std::uint64_t>(aStartedAt.count())
+          << kIncarnationRandomBits) |
+         (aRandom & kRandomMask);
+}
+
+/** Returns the time of day at which an incarnation started, by its host's
+    clock. */
+[[nodiscard]] constexpr std::chrono::milliseconds
+IncarnationStart(std::uint64_t aIncarnation) noexcept
+{
+  return std::chrono::milliseconds(aIncarnation >> kIncarnationRandomBits);
+}
+
 /** A set of endpoints of one region that share a dispatcher. */
 struct GroupId
 {
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/gateway/internal/reader_times.hpp"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace sapphirehook {
@@ -64,13 +65,15 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
+/** Returns a number that no other incarnation on this host has. The clock may
+    show a time twice, so the number also has a random part. */
 std::uint64_t
 NewIncarnation()
 {
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<Millis>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
+  const auto startedAt = std::chrono::duration_cast<Millis>(
+    std::chrono::system_clock::now().time_since_epoch());
+  std::random_device random;
+  return MakeIncarnation(startedAt, random());
 }
 
 /** Whether an incarnation's start time is further in the future than a
--- a/src/sapphirehook/gossip/gossip.cpp
+++ b/src/sapphirehook/gossip/gossip.cpp
@@ -124,12 +124,14 @@
   }
   auto& peer = m_peers[envelope->m_from.m_host];
   const TimePoint now = BootClock::now();
-  if (envelope->m_from.m_incarnation < peer.m_incarnation &&
-      IsAlive(now, peer)) {
-    return; // sent by an earlier incarnation
+  const auto incarnation = envelope->m_from.m_incarnation;
+  if (incarnation != peer.m_incarnation) {
+    if (incarnation == peer.m_earlierIncarnation && IsAlive(now, peer)) {
+      return; // a late message of an ended incarnation
+    }
+    peer.m_earlierIncarnation = std::exchange(peer.m_incarnation, incarnation);
   }
   peer.m_address = aFrom;
-  peer.m_incarnation = envelope->m_from.m_incarnation;
   peer.m_lastReceivedAt = now;
   m_onMessage(envelope->m_from, *message);
 }
--- a/src/sapphirehook/gossip/gossip.hpp
+++ b/src/sapphirehook/gossip/gossip.hpp
@@ -17,6 +17,8 @@
 {
   sockaddr_in m_address{};
   std::uint64_t m_incarnation = 0;
+  /** The incarnation that sent before. */
+  std::uint64_t m_earlierIncarnation = 0;
   TimePoint m_lastReceivedAt{};
   TimePoint m_sentAt{};
 };
--- a/src/sapphirehook/keys/earlier_grants.cpp
+++ b/src/sapphirehook/keys/earlier_grants.cpp
@@ -18,16 +18,21 @@
                            bool aLeads)
 {
   auto& run = m_runs[aFrom.m_host];
-  if (aFrom.m_incarnation > run.m_incarnation) {
-    run = { aFrom.m_incarnation, aNow, std::nullopt, 0 };
+  if (aFrom.m_incarnation != run.m_incarnation) {
+    run = {};
+    run.m_incarnation = aFrom.m_incarnation;
+    run.m_seenAt = aNow;
+    run.m_knownSince = aNow;
   }
-  if (aFrom.m_incarnation == run.m_incarnation) {
-    if (aLeads) {
-      run.m_idleSince.reset();
-    } else if (!run.m_idleSince || aTerm > run.m_idleTerm) {
-      run.m_idleSince = aNow;
-      run.m_idleTerm = aTerm;
-    }
+  if (aTerm > run.m_knownTerm) {
+    run.m_knownTerm = aTerm;
+    run.m_knownSince = aNow;
+  }
+  if (aLeads) {
+    run.m_idleSince.reset();
+  } else if (!run.m_idleSince || aTerm > run.m_idleTerm) {
+    run.m_idleSince = aNow;
+    run.m_idleTerm = aTerm;
   }
   ApplyEvidence();
 }
@@ -66,17 +71,17 @@
 std::optional<TimePoint>
 EarlierGrants::StoppedBy(const HostId& aLeader, Term aTerm) const
 {
-  const auto* run = LatestRun(aLeader.m_host);
+  const auto* run = LastHeardRun(aLeader.m_host);
   if (run == nullptr) {
     return std::nullopt;
   }
-  if (run->m_incarnation > aLeader.m_incarnation) {
-    return run->m_seenAt;
+  if (run->m_incarnation != aLeader.m_incarnation) {
+    return run->m_knownTerm >= aTerm ? std::optional(run->m_knownSince)
+                                     : std::nullopt;
   }
   // A run that knows its own term and does not lead never leads that term
   // again.
-  const bool idle = run->m_incarnation == aLeader.m_incarnation &&
-                    run->m_idleSince && run->m_idleTerm >= aTerm;
+  const bool idle = run->m_idleSince && run->m_idleTerm >= aTerm;
   return idle ? run->m_idleSince : std::nullopt;
 }
 
@@ -119,7 +124,7 @@
 }
 
 const EarlierGrants::Run*
-EarlierGrants::LatestRun(const std::string& aHost) const
+EarlierGrants::LastHeardRun(const std::string& aHost) const
 {
   const auto run = m_runs.find(aHost);
   return run == m_runs.end() ? nullptr : &run->second;
--- a/src/sapphirehook/keys/earlier_grants.hpp
+++ b/src/sapphirehook/keys/earlier_grants.hpp
@@ -29,9 +29,15 @@
 
 /** Computes when the grants of earlier leaders have expired. An earlier leader
     may act until its authority ends, unless there is evidence that it has
-    stopped: a later run on its host, its own heartbeat that says that it does
-    not lead any more, or its resignation. Evidence lowers the expiry whenever
-    it arrives, also while a later leader already waits for the expiry. */
+    stopped: another run on its host that knows its term, its own heartbeat that
+    says that it does not lead any more, or its resignation. Evidence lowers the
+    expiry whenever it arrives, also while a later leader already waits for the
+    expiry.
+
+    The numbers of two runs of a host say nothing of their order, since they
+    come from a clock that may be set back. A run that knows a term began after
+    the claim of that term: the claimer's earlier runs had ended by then, and a
+    host runs one process at a time. */
 class EarlierGrants
 {
 public:
@@ -72,18 +78,24 @@
   [[nodiscard]] std::vector<EarlierLeader> RemainingLeaders(
     TimePoint aNow) const;
 
-  /** The latest run of the daemon on a host from which a heartbeat came. */
+  /** The run of the daemon on a host from which the last heartbeat came. It may
+      be an earlier run than one that was heard before, since heartbeats may
+      arrive late. */
   struct Run
   {
     std::uint64_t m_incarnation = 0;
-    /** Arrival of its first heartbeat. */
+    /** Arrival of the first heartbeat in the present series from this run. */
     TimePoint m_seenAt{};
+    /** Highest term that the run has reported to know, and when it first did.
+     */
+    Term m_knownTerm = 0;
+    TimePoint m_knownSince{};
     /** When the run first reported that it knows m_idleTerm and does not lead.
         Empty while it leads. */
     std::optional<TimePoint> m_idleSince;
     Term m_idleTerm = 0;
   };
-  [[nodiscard]] const Run* LatestRun(const std::string& aHost) const;
+  [[nodiscard]] const Run* LastHeardRun(const std::string& aHost) const;
 
 private:
   /** Lowers the upper bounds by the evidence that has arrived. */
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -36,9 +36,9 @@
 /** A leader resigns only after other daemons have reached the store for this
     long. */
 constexpr Millis kOthersReachStoreFor{ 1500 };
-/** A run that began at most this long before the own one may have claimed since
-    then. In milliseconds of the time of day. */
-constexpr std::uint64_t kRecentRunMs = 1500;
+/** A run that began at most this long before the own one, by the clocks of both
+    hosts, may have claimed since then. */
+constexpr Millis kRecentRun{ 1500 };
 /** Largest number of successors that a leader names. */
 constexpr std::size_t kMaxSuccessors = 4;
 /** A leader resigns in favour of a daemon with at least this many times its
@@ -103,7 +103,8 @@
   }
   const bool isFresh =
     m_term != 0 ||
-    aRecord.m_leader.m_incarnation + kRecentRunMs >= m_self.m_incarnation;
+    IncarnationStart(aRecord.m_leader.m_incarnation) + kRecentRun >=
+      IncarnationStart(m_self.m_incarnation);
   const bool isNew = aRecord.m_term > m_term;
   if (isNew && m_term != 0) {
     OnLeaderChange(aNow);
@@ -351,8 +352,9 @@
          aNow < m_startedAt + kFleetDiscovery && Rank(aNow) < kRecordReaders;
 }
 
-/** Whether the run that claimed last has ended: a later run has started on its
-    host. */
+/** Whether the run that claimed last has probably ended: another run has been
+    heard on its host since. Used only to claim without waiting for a heartbeat,
+    which is safe in any case. */
 bool
 Leadership::RecordedRunHasEnded() const
 {
@@ -361,10 +363,10 @@
     return false;
   }
   if (leader.m_host == m_self.m_host) {
-    return leader.m_incarnation < m_self.m_incarnation;
+    return leader.m_incarnation != m_self.m_incarnation;
   }
-  const auto* run = m_earlier.LatestRun(leader.m_host);
-  return run != nullptr && run->m_incarnation > leader.m_incarnation;
+  const auto* run = m_earlier.LastHeardRun(leader.m_host);
+  return run != nullptr && run->m_incarnation != leader.m_incarnation;
 }
 
 /** Whether the store has recently answered another daemon. A daemon whose last
@@ -416,7 +418,7 @@
          std::any_of(
            m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
              const auto& [host, candidate] = aOne;
-             const auto* run = m_earlier.LatestRun(host);
+             const auto* run = m_earlier.LastHeardRun(host);
              return candidate.m_processorShare >=
                       m_processorShare * kMinProcessorRatio &&
                     CouldLead(aNow, candidate) && run != nullptr &&
--- a/test/sapphirehook/keys/earlier_grants.cpp
+++ b/test/sapphirehook/keys/earlier_grants.cpp
@@ -41,9 +41,14 @@
   grants.Add(kFirst, 1, At(20'000));
   SECTION("another process on its host")
   {
-    grants.OnHeartbeat(At(3000), { "a", 21 }, 0, false);
+    // The number of a run says nothing of its order.
+    const std::uint64_t number = GENERATE(19U, 21U);
+    // A run that does not know the term may have ended before the claim.
+    grants.OnHeartbeat(At(2500), { "a", number }, 0, false);
+    CHECK(grants.Expiry() == At(20'000));
+    grants.OnHeartbeat(At(3000), { "a", number }, 1, false);
     CHECK(grants.Expiry() == At(3000) + kGrantLifetime);
-    grants.OnHeartbeat(At(9000), { "a", 22 }, 0, false);
+    grants.OnHeartbeat(At(9000), { "a", 22 }, 1, false);
     CHECK(grants.Expiry() == At(3000) + kGrantLifetime);
   }
   SECTION("its heartbeat without leadership")
@@ -69,13 +74,32 @@
 TEST_CASE("reports received before a leader is known count too", "[keys]")
 {
   EarlierGrants grants(kGrantLifetime);
-  grants.OnHeartbeat(At(1000), { "a", 21 }, 0, false);
+  grants.OnHeartbeat(At(1000), { "a", 21 }, 1, false);
   grants.OnExpiryReported(2, At(5000));
   grants.Add(kFirst, 1, At(20'000));
   grants.Add(kSecond, 2, At(20'000));
   CHECK(grants.Expiry() == At(1000) + kGrantLifetime);
 }
 
+// Guards against two holders: after a clock step the run that led had a lower
+// number than an earlier run on its host, which counted as a later one.
+TEST_CASE("an earlier run of a host says nothing about a later leader there",
+          "[keys]")
+{
+  EarlierGrants grants(kGrantLifetime);
+  const HostId earlier{ "a", 3660 };
+  const HostId leader{ "a", 1200 };
+  grants.OnHeartbeat(At(1000), earlier, 1, false);
+  grants.OnHeartbeat(At(3000), leader, 1, false);
+  grants.Add(leader, 2, At(40'000));
+  CHECK(grants.Expiry() == At(40'000));
+  // A heartbeat that was sent before the restart arrives late.
+  grants.OnHeartbeat(At(20'100), earlier, 1, false);
+  CHECK(grants.Expiry() == At(40'000));
+  grants.OnHeartbeat(At(24'000), { "a", 2400 }, 2, false);
+  CHECK(grants.Expiry() == At(24'000) + kGrantLifetime);
+}
+
 // Guards against a wait that never ended while leaders changed, because each
 // leader restarted it (soak seeds 415 and 515).
 TEST_CASE("the remaining wait does not grow when another leader reads it",
@@ -90,7 +114,7 @@
   // The third leader has received a heartbeat of a new process on the first
   // leader's host. The fourth leader reads the stored list twice.
   EarlierGrants third(kGrantLifetime);
-  third.OnHeartbeat(At(7000), { "a", 21 }, 0, false);
+  third.OnHeartbeat(At(7000), { "a", 21 }, 1, false);
   third.AddStored(At(9000), stored);
   CHECK(third.Expiry() == At(7000) + kGrantLifetime);
   EarlierGrants fourth(kGrantLifetime);
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -82,7 +82,7 @@
   SECTION("when another process runs on its host")
   {
     leadership.OnHeartbeat(
-      At(1800), { "a", 21 }, 0, false, { true, At(1600), false, {}, 0.2 });
+      At(1800), { "a", 21 }, 1, false, { true, At(1600), false, {}, 0.2 });
     leadership.OnClaimed(At(2000), 2);
     CHECK(leadership.PreviousGrantsExpiry() == At(1800) + grantLifetime);
   }
@@ -193,7 +193,10 @@
   CHECK_FALSE(leadership.ShouldClaim(At(2500) + heartbeatTimeout - Millis(1)));
   SECTION("but not a claim from before a restart of all daemons")
   {
-    Leadership restarted(LeadershipTimes{}, { "b", 60'000 }, 0.2, At(1000));
+    Leadership restarted(LeadershipTimes{},
+                         { "b", MakeIncarnation(Millis(60'000), 0) },
+                         0.2,
+                         At(1000));
     restarted.SetStoreWorks(At(1000), true);
     restarted.OnRecord(At(1690), { 2, { "c", 30'000 }, 0, 0 });
     CHECK(restarted.ShouldClaim(At(1000) + heartbeatTimeout));
@@ -254,7 +257,10 @@
           "[keys]")
 {
   // This daemon started long after the latest claim.
-  Leadership leadership(LeadershipTimes{}, { "b", 60'000 }, 0.2, At(1000));
+  Leadership leadership(LeadershipTimes{},
+                        { "b", MakeIncarnation(Millis(60'000), 0) },
+                        0.2,
+                        At(1000));
   leadership.SetStoreWorks(At(1000), true);
   leadership.OnRecord(At(1250), { 3, kOther, 0, 0 });
   CHECK_FALSE(leadership.ShouldClaim(At(1300)));
@@ -397,7 +403,7 @@
   record.m_earlier = { { { "b", 9 }, 1, 19'000 } };
   leadership.OnRecord(At(1500), record);
   leadership.OnHeartbeat(
-    At(1600), { "a", 21 }, 0, false, { true, At(1600), false, {}, 0.2 });
+    At(1600), { "a", 21 }, 2, false, { true, At(1600), false, {}, 0.2 });
   leadership.OnClaimed(At(3000), 3);
   CHECK(leadership.PreviousGrantsExpiry() == At(1600) + grantLifetime);
 }
--- a/test/sapphirehook/keys/range_simulation.hpp
+++ b/test/sapphirehook/keys/range_simulation.hpp
@@ -76,7 +76,7 @@
 };
 
 /** Simulates leaders on three hosts whose processes are killed, restarted under
-    higher numbers, and paused; four endpoints that crash, restart, refuse
+    numbers in any order, and paused; four endpoints that crash, restart, refuse
     connections and are cut off; commands that are lost, delayed or held up by a
     cut; late heartbeats; and ranges that move at random. A replaced leader
     continues until its authority ends. The key space is divided into cells of
@@ -155,11 +155,12 @@
     return times;
   }
 
-  /** Starts the next process on a host. */
+  /** Starts the next process on a host. The clock from which its number comes
+      may have been set back. */
   void StartProcess(std::size_t aHost)
   {
     Process process;
-    process.m_id = { "h" + std::to_string(aHost), ++m_lastNumber };
+    process.m_id = { "h" + std::to_string(aHost), 1 + Draw(1'000'000'000) };
     process.m_leadership =
       std::make_unique<Leadership>(Times(), process.m_id, 1.0, m_now);
     m_hosts.at(aHost) = std::move(process);
@@ -633,7 +634,6 @@
   bool m_storing = false;
   TimePoint m_storeEnds{};
   std::string m_violation;
-  std::uint64_t m_lastNumber = 0;
   unsigned m_moves = 0;
   unsigned m_terms = 0;
   unsigned m_heldCellSteps = 0;
