A closing connection waits while its peer receives

Cause: the linger timeout of 1 s ran from the moment at which the last byte was queued, and its end dropped what had not been sent. While stopping, every answer closes its connection.

Evidence: the new test on the code before: 163,840 of 400,000 bytes arrive.

Change: the timeout starts anew when the peer has acknowledged bytes since it began. A second test holds that a peer that reads nothing still ends the connection.

Why it works: progress is what the kernel reports as acknowledged, so neither the size of its buffer nor the rate of the link matters.

--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -11,8 +13,7 @@
 
 namespace {
 
-/** Maximum time that a closing connection waits for its peer to read the
-    answer. */
+/** A closing connection ends when its peer receives nothing for this long. */
 constexpr Millis kLingerTimeout{ 1000 };
 
 /** Size of the read buffer, which all streams of a thread share. */
@@ -41,9 +42,7 @@
   : m_loop(aLoop)
   , m_events(std::move(aEvents))
   , m_watcher(aLoop, [this](int aWhich) { OnEvents(aWhich); })
-  , m_timer(aLoop, [this] {
-    End(m_closing ? StreamEnd::Closed : StreamEnd::ConnectTimeout);
-  })
+  , m_timer(aLoop, [this] { OnTimeout(); })
 {
 }
 
@@ -161,6 +160,7 @@
     return;
   }
   m_closing = true;
+  m_lingering = Unacknowledged();
   m_timer.Start(kLingerTimeout);
   if (Unsent() == 0) {
     shutdown(m_socket, SHUT_WR);
@@ -169,6 +169,30 @@
   Watch();
 }
 
+std::size_t
+TcpStream::Unacknowledged() const
+{
+  int queued = 0;
+  const bool known = ioctl(m_socket, SIOCOUTQ, &queued) == 0 && queued > 0;
+  return Unsent() + (known ? static_cast<std::size_t>(queued) : 0);
+}
+
+void
+TcpStream::OnTimeout()
+{
+  if (!m_closing) {
+    End(StreamEnd::ConnectTimeout);
+    return;
+  }
+  // A peer on a slow link may need longer for an answer.
+  const auto left = Unacknowledged();
+  if (left < std::exchange(m_lingering, left)) {
+    m_timer.Start(kLingerTimeout);
+  } else {
+    End(StreamEnd::Closed);
+  }
+}
+
 void
 TcpStream::End(StreamEnd aEnd)
 {
--- a/src/sapphirehook/net/tcp_stream.hpp
+++ b/src/sapphirehook/net/tcp_stream.hpp
@@ -68,7 +68,8 @@
   void Reset();
 
   /** Sends the written bytes, shuts down the sending side and discards received
-      bytes until the peer closes, for at most the linger timeout. */
+      bytes until the peer closes. Ends when the peer has received nothing more
+      for the linger timeout. */
   void CloseAfterWrite();
 
   [[nodiscard]] bool IsOpen() const noexcept { return m_socket >= 0; }
@@ -85,6 +86,9 @@
   void Flush();
   void Watch();
   void End(StreamEnd aEnd);
+  void OnTimeout();
+  /** Returns the number of written bytes that the peer has not acknowledged. */
+  [[nodiscard]] std::size_t Unacknowledged() const;
   void Configure(Millis aAcknowledgeTimeout) const;
 
   EventLoop& m_loop;
@@ -97,6 +101,8 @@
   bool m_connected = false;
   bool m_reading = true;
   bool m_closing = false;
+  /** Unacknowledged bytes when the linger timeout began. */
+  std::size_t m_lingering = 0;
   bool m_sendShutdown = false;
 };
 
--- /dev/null
+++ b/test/sapphirehook/net/tcp_stream.cpp
@@ -0,0 +1,87 @@
+#include "sapphirehook/net/tcp_stream.hpp"
+
+#include "support/loopback.hpp"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <memory>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace sapphirehook;
+
+namespace {
+
+constexpr int kBufferBytes = 16'384;
+constexpr std::size_t kAnswerBytes = 400'000;
+
+/** A stream that writes an answer to a peer with a small receive window. */
+class Fixture
+{
+public:
+  Fixture()
+  {
+    const sockaddr_in address = support::FreeAddress();
+    TcpListener listener(m_loop, [&](int aSocket) {
+      setsockopt(
+        aSocket, SOL_SOCKET, SO_SNDBUF, &kBufferBytes, sizeof kBufferBytes);
+      m_stream = std::make_shared<TcpStream>(
+        m_loop, StreamEvents{ nullptr, nullptr, nullptr, [this](StreamEnd) {
+                               m_ended = true;
+                             } });
+      m_stream->Adopt(aSocket, Millis(0));
+    });
+    REQUIRE(listener.Listen(address));
+    m_peer = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, IPPROTO_TCP);
+    setsockopt(
+      m_peer, SOL_SOCKET, SO_RCVBUF, &kBufferBytes, sizeof kBufferBytes);
+    REQUIRE(connect(m_peer,
+                    reinterpret_cast<const sockaddr*>(&address),
+                    sizeof address) == 0);
+    fcntl(m_peer, F_SETFL, O_NONBLOCK);
+    REQUIRE(support::RunUntil(
+      m_loop, [&] { return m_stream != nullptr; }, Millis(1000)));
+    m_stream->Write(std::string(kAnswerBytes, 'x'));
+    m_stream->CloseAfterWrite();
+  }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
+  ~Fixture() { close(m_peer); }
+
+  /** Reads at most a number of bytes that have arrived at the peer. */
+  std::size_t Read(std::size_t aMost)
+  {
+    std::string buffer(aMost, '\0');
+    const auto count = recv(m_peer, buffer.data(), buffer.size(), 0);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+  }
+
+  EventLoop m_loop;
+  std::shared_ptr<TcpStream> m_stream;
+  bool m_ended = false;
+  int m_peer = -1;
+};
+
+} // namespace
+
+// Guards against answers that were cut in a planned stop 1 s after they had
+// been queued, while their callers were still receiving them.
+TEST_CASE("a closing connection sends its answer to a slow peer to the end",
+          "[net]")
+{
+  Fixture fixture;
+  std::size_t received = 0;
+  // About 2.7 s in all.
+  for (int i = 0; i < 200 && received < kAnswerBytes; ++i) {
+    received += fixture.Read(6'000);
+    support::RunFor(fixture.m_loop, Millis(40));
+  }
+  CHECK(received == kAnswerBytes);
+}
+
+TEST_CASE("a closing connection ends when its peer reads nothing", "[net]")
+{
+  Fixture fixture;
+  CHECK(support::RunUntil(
+    fixture.m_loop, [&] { return fixture.m_ended; }, Millis(3000)));
+}
