Test: an endless head or trailer ends the connection to its endpoint

An operator of a similar system reported that a faulty server sent bytes that were no answer, without end, and that the machine that had called it kept them all and ran out of memory.

--- a/test/sapphirehook/gateway/faulty_answers.cpp
+++ b/test/sapphirehook/gateway/faulty_answers.cpp
@@ -190,3 +190,39 @@
     CHECK(Fixture::HasStatus(answer, 502));
   }
 }
+
+// Guards against a failure that an operator reported: an endpoint sent bytes
+// that were no answer, without end, and the daemon that kept them ran out of
+// memory.
+TEST_CASE("an endless head or trailer ends the connection to its endpoint",
+          "[gateway]")
+{
+  Fixture fixture;
+  fixture.List("plain", false);
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  std::string begin;
+  SECTION("a value of a header field")
+  {
+    begin = Named(head + "X: ", "a");
+  }
+  SECTION("a name of a header field")
+  {
+    begin = Named(head + "X", "a");
+  }
+  SECTION("a reason phrase")
+  {
+    begin = "HTTP/1.1 200 ";
+  }
+  SECTION("no answer at all") {}
+  SECTION("a trailer")
+  {
+    begin = Named(head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", "a");
+  }
+  constexpr std::size_t kFlood = std::size_t{ 16 } << 20U;
+  fixture.SetScript([&](auto& aConnection, auto&) {
+    aConnection.m_stream->Write(begin + std::string(kFlood, 'x'));
+  });
+  const auto answer = fixture.Ask("/once/x", "a");
+  CHECK(fixture.Until([&] { return fixture.m_one.m_ended == 1; }));
+  CHECK_FALSE(Fixture::HasStatus(answer, 200));
+}
