Revert the longer wait for the grants of a killed leader

Cause: without the evidence of another run on its host, the grants of a killed leader count for 15 s of authority and a lease. Endpoints that are replaced while leaders are killed leave keys that wait for all of that.

--- a/src/sapphirehook/keys/earlier_grants.hpp
+++ b/src/sapphirehook/keys/earlier_grants.hpp
@@ -29,12 +29,15 @@
 
 /** Computes when the grants of earlier leaders have expired. An earlier leader
     may act until its authority ends, unless there is evidence that it has
-    stopped: its own heartbeat that says that it does not lead any more, or its
-    resignation. Evidence lowers the expiry whenever it arrives, also while a
-    later leader already waits for the expiry.
-
-    The end of its process is no evidence: what a killed process has sent, and a
-    cut holds up, arrives when the cut heals. */
+    stopped: another run on its host that knows its term, its own heartbeat that
+    says that it does not lead any more, or its resignation. Evidence lowers the
+    expiry whenever it arrives, also while a later leader already waits for the
+    expiry.
+
+    The numbers of two runs of a host say nothing of their order, since they
+    come from a clock that may be set back. A run that knows a term began after
+    the claim of that term: the claimer's earlier runs had ended by then, and a
+    host runs one process at a time. */
 class EarlierGrants
 {
 public:
@@ -83,6 +86,10 @@
     std::uint64_t m_incarnation = 0;
     /** Arrival of the first heartbeat in the present series from this run. */
     TimePoint m_seenAt{};
+    /** Highest term that the run has reported to know, and when it first did.
+     */
+    Term m_knownTerm = 0;
+    TimePoint m_knownSince{};
     /** When the run first reported that it knows m_idleTerm and does not lead.
         Empty while it leads. */
     std::optional<TimePoint> m_idleSince;
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -93,8 +93,9 @@
       m_earlier.AddStored(aNow, { { {}, 0, aRecord.m_earlierGrantsMs } });
     }
     for (const auto& leader : aRecord.m_earlier) {
-      if (leader.m_leader == m_self && !m_leads) {
-        // No heartbeat reports the end of the own leadership.
+      if (leader.m_leader.m_host == m_self.m_host && !m_leads) {
+        // The leader is this run or an earlier run on this host. No heartbeat
+        // reports its end, as heartbeats of later runs do for other hosts.
         m_earlier.Add(
           leader.m_leader, leader.m_term, m_idleSince + GrantLifetime());
       }
@@ -427,17 +428,14 @@
 
 /** Returns an upper bound of the expiry of the recorded leader's grants,
     without evidence of its end: the leader may act until its authority ends,
-    and may send its last grant at that moment. An earlier run on this host had
-    ended before this run started, but a cut may hold up its commands. */
+    and may send its last grant at that moment. */
 TimePoint
 Leadership::PredecessorExpiry(TimePoint aNow) const
 {
-  if (m_record.m_leader == m_self) {
-    return m_idleSince + GrantLifetime();
-  }
-  const bool hasEnded = m_record.m_leader.m_host == m_self.m_host;
-  return (hasEnded ? m_startedAt : aNow) + m_times.m_authority +
-         GrantLifetime();
+  const bool isOwn = m_record.m_leader.m_host == m_self.m_host;
+  return isOwn ? m_idleSince +
+                   GrantLifetime() // this run or an earlier one on this host
+               : aNow + m_times.m_authority + GrantLifetime();
 }
 
 void
--- a/src/sapphirehook/keys/range_manager_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_impl.hpp
@@ -220,11 +220,7 @@
       case CommandOutcome::Done:
         aRange.m_answeredFence =
           std::max(aRange.m_answeredFence, aRange.m_fence);
-        // The endpoint executes no grant with a lower fence any more, and the
-        // leases of those that it has executed end before this one.
-        aRange.m_latestExpiry = MayApplyLate(aNow, aRange)
-                                  ? std::max(aRange.m_latestExpiry, ends)
-                                  : ends;
+        aRange.m_latestExpiry = std::max(aRange.m_latestExpiry, ends);
         aRange.m_expectedExpiry = aNow + m_times.m_leaseDuration;
         aRange.m_dueAt = aNow + m_times.m_renewEvery;
         aRange.m_handover.clear();
