Read the era of a store that may be restored from an older copy

The store counts its restores in a header of all answers. Pages and outcomes of appends carry it; nothing uses it yet.

--- a/src/sapphirehook/store/fwd.hpp
+++ b/src/sapphirehook/store/fwd.hpp
@@ -6,6 +6,7 @@
 namespace sapphirehook {
 
 struct KeyedRecord;
+struct StorePosition;
 struct KeyedPage;
 struct AppendOutcome;
 struct EndConfirmation;
--- a/src/sapphirehook/store/keyed_record.hpp
+++ b/src/sapphirehook/store/keyed_record.hpp
@@ -3,6 +3,7 @@
 
 #include "sapphirehook/core/ids.hpp"
 #include "sapphirehook/core/time.hpp"
+#include "sapphirehook/store/store_position.hpp"
 
 #include <optional>
 #include <string>
@@ -71,6 +72,9 @@
   /** Number of records that could not be parsed. They are left out of m_records
       or have an empty key. */
   std::size_t m_unreadable = 0;
+  /** Era of the store when it answered. Also set in failed calls that the store
+      has answered. */
+  StoreEra m_era = 0;
 };
 
 /** The store's confirmation that a topic ended at an offset at a point in time:
@@ -91,6 +95,8 @@
   StoreAnswer m_answer = StoreAnswer::NoAnswer;
   /** Offset after the last record of the topic. */
   Offset m_end = 0;
+  /** Era of the store when it answered. */
+  StoreEra m_era = 0;
 };
 
 } // namespace sapphirehook
