A configuration part that is not understood leaves out only itself

Cause: one route of type "download" made the whole configuration invalid, and no host had any routes: 100% of the requests of two deployments were refused.

Change: download routes are idempotent. A route, service or field that cannot be parsed is left out or takes a safe default, alone, and is logged and counted. A route of an unknown type is never repeated; requests for a route that cannot be applied get 503, not 404, and no route with a shorter prefix takes its place. The settings of warm-up, evacuation and memory are read.

--- a/src/sapphirehook/gateway/engine_metrics.cpp
+++ b/src/sapphirehook/gateway/engine_metrics.cpp
@@ -14,6 +14,8 @@
       return "never-repeat";
     case RequestKind::Upload:
       return "upload";
+    case RequestKind::Download:
+      return "download";
   }
   return "unknown";
 }
@@ -29,6 +31,7 @@
   counter("sapphirehook_refused_total", aMetrics.m_refused);
   counter("sapphirehook_failed_total", aMetrics.m_failed);
   counter("sapphirehook_unrouted_total", aMetrics.m_unrouted);
+  counter("sapphirehook_unusable_route_total", aMetrics.m_unusableRoutes);
   counter("sapphirehook_repeats_total", aMetrics.m_retries);
   counter("sapphirehook_callers_gone_total", aMetrics.m_callersGone);
   counter("sapphirehook_pipelined_total", aMetrics.m_pipelined);
--- a/src/sapphirehook/gateway/engine_metrics.hpp
+++ b/src/sapphirehook/gateway/engine_metrics.hpp
@@ -18,6 +18,8 @@
   std::uint64_t m_refused = 0;
   std::uint64_t m_failed = 0;
   std::uint64_t m_unrouted = 0;
+  /** Requests for routes that this version of the program cannot apply. */
+  std::uint64_t m_unusableRoutes = 0;
   std::uint64_t m_retries = 0;
   std::uint64_t m_callersGone = 0;
   /** Requests that were passed on while others in front of them on their
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -62,6 +62,9 @@
 /** Shortest time between two log lines about the same continuing failure. */
 constexpr Millis kRepeatedLineInterval{ 1000 };
 
+/** Largest number of log lines about the issues of one configuration. */
+constexpr std::size_t kMaxLoggedIssues = 20;
+
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -307,13 +310,32 @@
                   .Add("offset", aRecord.m_offset)
                   .Add("routes", config->m_routes.size())
                   .Add("bytes", aRecord.m_value->size())
+                  .Add("issues", config->m_issues.size())
                   .Add("from", m_recordSource),
                 LogPriority::State);
+    LogIssues(*config);
     m_engine.SetRoutes(std::make_shared<const RouteTable>(*std::move(config)));
     m_ownership.OnChange();
   }
 }
 
+/** Logs the parts of a configuration that could not be applied as written. */
+void
+Gateway::LogIssues(const RoutingConfig& aConfig)
+{
+  const auto logged = std::min(aConfig.m_issues.size(), kMaxLoggedIssues);
+  for (std::size_t i = 0; i < logged; ++i) {
+    const auto& issue = aConfig.m_issues[i];
+    m_log.Write(LogLine("configuration-part-unused")
+                  .Add("version", aConfig.m_version)
+                  .Add("resource", issue.m_resourceKind)
+                  .Add("name", issue.m_name)
+                  .Add("left_out", issue.m_isLeftOut ? 1 : 0)
+                  .Add("why", issue.m_reason),
+                LogPriority::State);
+  }
+}
+
 void
 Gateway::OnEndpoint(const KeyedRecord& aRecord)
 {
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -43,6 +43,7 @@
 private:
   void OnHostFound();
   void OnConfig(const KeyedRecord& aRecord);
+  void LogIssues(const RoutingConfig& aConfig);
   void OnEndpoint(const KeyedRecord& aRecord);
   void OnEndpointsChanged();
   void OnStoreFailure(std::string_view aTopic, StoreAnswer aAnswer);
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -59,6 +59,11 @@
   std::string text;
   AppendMetric(text, "sapphirehook_config_version", "gauge", m_configVersion);
   m_versions.AppendSamples(text, now);
+  const auto* routes = m_engine.Routes();
+  AppendMetric(text,
+               "sapphirehook_config_issues",
+               "gauge",
+               routes != nullptr ? routes->Config().m_issues.size() : 0);
   AppendMetric(
     text, "sapphirehook_leads", "gauge", m_ownership.Leads() ? 1 : 0);
   AppendMetric(text, "sapphirehook_store_works", "gauge", m_storeWorks ? 1 : 0);
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -16,6 +16,9 @@
 /** Time within which a daemon with stale routes reads the current ones, unless
     the store is unavailable. */
 constexpr Millis kRouteReadTime{ 300 };
+/** Retry-After of a request for a route that this version cannot apply. Another
+    host may run a version that can. */
+constexpr Millis kUnusableRouteRetry{ 1000 };
 /** Extra latency of an answer from another zone. */
 constexpr Millis kZoneCost{ 3 };
 /** Latency that the choice of an endpoint adds for an upload to another zone.
@@ -190,7 +193,7 @@
   const Route* route = m_routes && host != nullptr
                          ? m_routes->Find(*host, aHead.m_target)
                          : nullptr;
-  return route != nullptr && route->m_kind == RequestKind::Idempotent;
+  return route != nullptr && IsIdempotent(route->m_kind);
 }
 
 TransactionPtr
@@ -209,6 +212,17 @@
     return nullptr;
   }
   const Route* route = m_routes->Find(*host, aHead.m_target);
+  const bool isUnusable = route != nullptr
+                            ? !route->m_isUsable
+                            : m_routes->MayHaveUnknownRoute(*host);
+  if (isUnusable) {
+    ++m_metrics.m_unusableRoutes;
+    AnswerDirectly(aSink,
+                   kUnavailable,
+                   "the route is not supported by this version",
+                   kUnusableRouteRetry);
+    return nullptr;
+  }
   if (route == nullptr) {
     ++m_metrics.m_unrouted;
     if (m_routesMayBeStale && m_routesMayBeStale()) {
--- a/src/sapphirehook/gateway/settings.cpp
+++ b/src/sapphirehook/gateway/settings.cpp
@@ -24,6 +24,27 @@
   }
 }
 
+/** Returns an optional setting. A setting without a value counts as missing. */
+template<typename Type>
+Type
+SettingOr(const YAML::Node& aRoot, const char* aName, Type aDefault)
+{
+  const auto node = aRoot[aName];
+  return node.IsDefined() && !node.IsNull() ? Setting<Type>(aRoot, aName)
+                                            : aDefault;
+}
+
+double
+NotNegative(const YAML::Node& aRoot, const char* aName, double aDefault)
+{
+  const auto value = SettingOr<double>(aRoot, aName, aDefault);
+  if (!(value >= 0.0)) {
+    throw std::invalid_argument(std::string("setting \"") + aName +
+                                "\" must not be below 0");
+  }
+  return value;
+}
+
 Address
 AddressSetting(const YAML::Node& aRoot, const char* aName)
 {
@@ -76,6 +97,15 @@
   settings.m_maxLeaseDuration = Positive(aRoot, "max_hold_ms", kMilli);
   settings.m_stopGrace = Positive(aRoot, "stop_grace_s", kSecond);
   settings.m_drain = Positive(aRoot, "drain_ms", kMilli);
+  settings.m_warmUpOverrun =
+    NotNegative(aRoot, "warm_up_overrun", settings.m_warmUpOverrun);
+  settings.m_warmUpSlack =
+    NotNegative(aRoot, "warm_up_slack", settings.m_warmUpSlack);
+  settings.m_evacuation = Millis(static_cast<Millis::rep>(
+    NotNegative(aRoot,
+                "evacuation_ms",
+                static_cast<double>(settings.m_evacuation.count()))));
+  settings.m_memoryMb = NotNegative(aRoot, "memory_mb", settings.m_memoryMb);
   return settings;
 }
 
@@ -113,6 +143,10 @@
   compare("endpoint_heartbeat_ms", &GatewaySettings::m_endpointHeartbeat);
   compare("max_hold_ms", &GatewaySettings::m_maxLeaseDuration);
   compare("drain_ms", &GatewaySettings::m_drain);
+  compare("warm_up_overrun", &GatewaySettings::m_warmUpOverrun);
+  compare("warm_up_slack", &GatewaySettings::m_warmUpSlack);
+  compare("evacuation_ms", &GatewaySettings::m_evacuation);
+  compare("memory_mb", &GatewaySettings::m_memoryMb);
   return changed;
 }
 
--- a/src/sapphirehook/gateway/settings.hpp
+++ b/src/sapphirehook/gateway/settings.hpp
@@ -45,6 +45,15 @@
   Millis m_stopGrace{};
   /** Time after which a leaving endpoint gets no more work. */
   Millis m_drain{};
+  /** A cold endpoint gets at most its tolerated rate times the first number,
+      plus the second, in one second from all daemons. */
+  double m_warmUpOverrun = 1.0;
+  double m_warmUpSlack = 0.0;
+  /** Time after which the endpoints of an evacuated zone get no more work.
+      Zones can be evacuated in any deployment; this is the default. */
+  Millis m_evacuation{ 5000 };
+  /** Memory of the host for this process, in megabytes; 0 if unknown. */
+  double m_memoryMb = 0.0;
 };
 
 /** Parses the settings. Returns InvalidArgument with the name of the first
--- a/src/sapphirehook/placement/retry_policy.cpp
+++ b/src/sapphirehook/placement/retry_policy.cpp
@@ -16,7 +16,7 @@
   if (aEnd == AttemptEnd::Answered || aState.m_answering) {
     return NextStep::PassOn;
   }
-  const bool idempotent = aState.m_kind == RequestKind::Idempotent;
+  const bool idempotent = IsIdempotent(aState.m_kind);
   const bool mayRepeat = idempotent || !aState.m_mayHaveRun;
   const bool canSend =
     mayRepeat && aState.m_hasBody && aState.m_timeLeft > kMinTimeLeft;
--- a/src/sapphirehook/routing/fwd.hpp
+++ b/src/sapphirehook/routing/fwd.hpp
@@ -9,6 +9,7 @@
 struct Route;
 struct ServiceSpec;
 struct CallerLimits;
+struct ConfigIssue;
 struct RoutingConfig;
 class RouteTable;
 class WeightedRoundRobin;
--- a/src/sapphirehook/routing/route.hpp
+++ b/src/sapphirehook/routing/route.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,17 @@
   NeverRepeat,
   /** Like NeverRepeat, with a large body. */
   Upload,
+  /** Like Idempotent, with a large answer. */
+  Download,
 };
-inline constexpr std::size_t kRequestKinds = 3;
+inline constexpr std::size_t kRequestKinds = 4;
+
+/** Returns whether requests of a kind may run more than once. */
+[[nodiscard]] constexpr bool
+IsIdempotent(RequestKind aKind) noexcept
+{
+  return aKind == RequestKind::Idempotent || aKind == RequestKind::Download;
+}
 
 /** A service that receives a share of a route's requests. */
 struct RouteTarget
@@ -48,6 +58,10 @@
   /** Maximum number of endpoints to which one request is sent. */
   unsigned m_maxAttempts = 1;
   std::vector<RouteTarget> m_targets;
+  /** Whether this version of the program can apply the route. Requests for any
+      other route are refused as temporary: neither the routes with shorter
+      prefixes nor an older form of the route may take its place. */
+  bool m_isUsable = true;
 };
 
 /** A set of endpoints that do the same work. */
@@ -63,6 +77,11 @@
   /** Time for which requests for a key are slow at a new owner that received no
       handover from the previous one. */
   Millis m_keyWarmUp{};
+  /** Time for which an endpoint is cold after its start. */
+  Millis m_warmUp{};
+  /** Requests a second that a cold endpoint tolerates; 0 if there is no
+      limit. */
+  double m_warmUpRate = 0.0;
 };
 
 /** Size limits and timeouts of caller connections. */
@@ -74,6 +93,19 @@
   Millis m_idleTimeout{ 15'000 };         // until routes are read
 };
 
+/** A part of a configuration that this version of the program does not
+    understand. */
+struct ConfigIssue
+{
+  std::string m_resourceKind;
+  std::string m_name;
+  /** What is wrong, with the name of the field. */
+  std::string m_reason;
+  /** Whether the whole resource is left out. Otherwise a default applies to the
+      field. */
+  bool m_isLeftOut = false;
+};
+
 /** One version of the operators' configuration. */
 struct RoutingConfig
 {
@@ -81,6 +113,13 @@
   std::vector<Route> m_routes;
   std::map<std::string, ServiceSpec> m_services;
   CallerLimits m_limits;
+  /** Parts that could not be applied as written. */
+  std::vector<ConfigIssue> m_issues;
+  /** Hosts with a route whose prefix could not be parsed: any path of the host
+      that has no other route may belong to it. */
+  std::set<std::string> m_hostsWithUnknownPrefix;
+  /** Whether there is a route whose host could not be parsed. */
+  bool m_hasRouteWithUnknownHost = false;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/routing/route_table.cpp
+++ b/src/sapphirehook/routing/route_table.cpp
@@ -27,6 +27,9 @@
   for (const auto& route : m_config.m_routes) {
     m_byPrefix.emplace(LowerCase(route.m_host) + route.m_prefix, &route);
   }
+  for (const auto& host : m_config.m_hostsWithUnknownPrefix) {
+    m_hostsWithUnknownPrefix.insert(LowerCase(host));
+  }
 }
 
 const Route*
@@ -50,6 +53,14 @@
   }
 }
 
+bool
+RouteTable::MayHaveUnknownRoute(std::string_view aHost) const
+{
+  return m_config.m_hasRouteWithUnknownHost ||
+         m_hostsWithUnknownPrefix.contains(
+           LowerCase(aHost.substr(0, aHost.find(':'))));
+}
+
 const ServiceSpec*
 RouteTable::Service(const std::string& aName) const
 {
--- a/src/sapphirehook/routing/route_table.hpp
+++ b/src/sapphirehook/routing/route_table.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace sapphirehook {
 
@@ -22,6 +23,10 @@
   [[nodiscard]] const Route* Find(std::string_view aHost,
                                   std::string_view aTarget) const;
 
+  /** Returns whether a target without a route may belong to a route that could
+      not be parsed, so that its absence proves nothing. */
+  [[nodiscard]] bool MayHaveUnknownRoute(std::string_view aHost) const;
+
   /** Returns a service, or null if it is not configured. */
   [[nodiscard]] const ServiceSpec* Service(const std::string& aName) const;
 
@@ -34,6 +39,8 @@
   RoutingConfig m_config;
   /** Routes by the concatenation of host and prefix. */
   std::unordered_map<std::string, const Route*> m_byPrefix;
+  /** Hosts, in lower case, with a route whose prefix is unknown. */
+  std::unordered_set<std::string> m_hostsWithUnknownPrefix;
 };
 
 /** Distributes a route's requests to its targets in proportion to their
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -40,6 +40,32 @@
   CHECK(Fixture::HasStatus(fixture.Ask("/none/x", "id3"), 404));
 }
 
+TEST_CASE(
+  "requests for a route that this version cannot apply are refused, not "
+  "denied",
+  "[gateway]")
+{
+  Fixture fixture;
+  fixture.List("plain");
+  auto config = fixture.m_engine.Routes()->Config();
+  auto route = config.m_routes.front();
+  route.m_prefix = "/safe/new/";
+  route.m_isUsable = false;
+  config.m_routes.push_back(route);
+  config.m_hostsWithUnknownPrefix.insert("G");
+  fixture.m_engine.SetRoutes(std::make_shared<const RouteTable>(config));
+  // The route with the shorter prefix does not take its place.
+  CHECK(Fixture::HasStatus(fixture.Ask("/safe/new/x", "id1"), 503));
+  CHECK(Fixture::HasStatus(fixture.Ask("/safe/x", "id2"), 200));
+  CHECK(Fixture::HasStatus(fixture.Ask("/none/x", "id3"), 404));
+  fixture.m_received.clear();
+  fixture.Send("GET /none/x HTTP/1.1\r\nHost: g\r\n"
+               "X-Sapphirehook-Attempt-Id: id4\r\n\r\n");
+  REQUIRE(fixture.Until([&] { return !fixture.m_received.empty(); }));
+  CHECK(Fixture::HasStatus(fixture.m_received, 503));
+  CHECK(fixture.Arrived() == 1);
+}
+
 TEST_CASE("pipelined requests receive their answers in order", "[gateway]")
 {
   Fixture fixture;
