A reset answer is never complete, and an invalid status is no answer

Cause 1: an answer without a length ends with its connection. When a send of a long upload met the reset first, it took the error from the socket, the next read saw an end of stream, and the part received counted as the whole answer. Cause 2: a status below 100 was taken for an interim answer, so that the caller waited until its deadline; one above 599 was passed on to the caller.

Change: a stream remembers that a send has failed and then ends as reset. A status outside 100 to 599 is malformed, which counts as a lost answer (502, or a repeat of an idempotent request).

Measured: the test in net/ failed without the change (end "closed"), the four statuses 000, 099, 600 and 999 failed in faulty_answers; all pass with it.

--- a/src/sapphirehook/http1/message_parser.cpp
+++ b/src/sapphirehook/http1/message_parser.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/** Status codes outside this range are invalid (RFC 9110, section 15). */
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+
 /** Returns whether responses with this status have no body (RFC 9112). */
 constexpr bool
 HasNoBodyByStatus(int aStatus) noexcept
@@ -246,6 +250,11 @@
     m_request.m_hasBody = chunked || size.value_or(0) > 0;
   } else {
     m_response.m_status = static_cast<int>(m_parser.status_code);
+    if (m_response.m_status < kFirstStatus ||
+        m_response.m_status > kLastStatus) {
+      m_fault = ParseFault::Malformed;
+      return -1;
+    }
     m_response.m_bodySize = size;
     m_isCloseDelimited =
       !m_noBody && !chunked && !size && !HasNoBodyByStatus(m_response.m_status);
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -36,6 +36,13 @@
   setsockopt(aSocket, aLevel, aName, &aValue, sizeof aValue);
 }
 
+/** Whether a failed call on a socket may succeed later. */
+bool
+IsTransient(int aError)
+{
+  return aError == EAGAIN || aError == EINTR;
+}
+
 } // namespace
 
 TcpStream::TcpStream(EventLoop& aLoop, StreamEvents aEvents)
@@ -106,6 +113,7 @@
     if (sent > 0) {
       aBytes.remove_prefix(static_cast<std::size_t>(sent));
     }
+    m_sendFailed = m_sendFailed || (sent < 0 && !IsTransient(errno));
   }
   if (!aBytes.empty()) {
     m_sendBuffer.append(aBytes);
@@ -248,7 +256,7 @@
   if (Unsent() > 0) {
     const auto sent =
       send(m_socket, m_sendBuffer.data() + m_sent, Unsent(), MSG_NOSIGNAL);
-    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+    if (sent < 0 && !IsTransient(errno)) {
       End(StreamEnd::Reset);
       return;
     }
@@ -282,8 +290,10 @@
     return;
   }
   if (count == 0) {
-    End(StreamEnd::Closed);
-  } else if (errno != EAGAIN && errno != EINTR) {
+    // A send that fails because of a reset takes the error from the socket,
+    // which then reads as if the peer had closed it.
+    End(m_sendFailed ? StreamEnd::Reset : StreamEnd::Closed);
+  } else if (!IsTransient(errno)) {
     End(StreamEnd::Reset);
   }
 }
--- a/src/sapphirehook/net/tcp_stream.hpp
+++ b/src/sapphirehook/net/tcp_stream.hpp
@@ -104,6 +104,8 @@
   /** Unacknowledged bytes when the linger timeout began. */
   std::size_t m_lingering = 0;
   bool m_sendShutdown = false;
+  /** A send has failed, so that the peer has reset the connection. */
+  bool m_sendFailed = false;
 };
 
 /** Accepts connections on an address. */
--- a/test/sapphirehook/gateway/faulty_answers.cpp
+++ b/test/sapphirehook/gateway/faulty_answers.cpp
@@ -226,3 +226,19 @@
   CHECK(fixture.Until([&] { return fixture.m_one.m_ended == 1; }));
   CHECK_FALSE(Fixture::HasStatus(answer, 200));
 }
+
+// Guards against a status that is none and reaches the caller, or keeps it
+// waiting until its deadline.
+TEST_CASE("an answer with an invalid status is a failure of the endpoint",
+          "[gateway]")
+{
+  Fixture fixture;
+  fixture.List("plain", false);
+  const std::string status = GENERATE("000", "099", "600", "999");
+  fixture.SetScript([&](auto& aConnection, auto& aHead) {
+    ScriptedEndpoint::Reply(aConnection, aHead, status + " Odd", "", "odd");
+  });
+  const auto answer = fixture.Ask("/once/x", "a", "", Millis(300));
+  CHECK(Fixture::HasStatus(answer, 502));
+  CHECK(answer.find("odd") == std::string::npos);
+}
--- a/test/sapphirehook/net/tcp_stream.cpp
+++ b/test/sapphirehook/net/tcp_stream.cpp
@@ -2,9 +2,11 @@
 
 #include "support/loopback.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <memory>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -85,3 +87,43 @@
   CHECK(support::RunUntil(
     fixture.m_loop, [&] { return fixture.m_ended; }, Millis(3000)));
 }
+
+// Guards against an answer without a length that is cut by a reset and passed
+// on as complete: a send during the answer takes the error from the socket.
+TEST_CASE("a reset that a send has met first does not look like a close",
+          "[net]")
+{
+  EventLoop loop;
+  const sockaddr_in address = support::FreeAddress();
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, IPPROTO_TCP);
+  REQUIRE(bind(listener,
+               reinterpret_cast<const sockaddr*>(&address),
+               sizeof address) == 0);
+  REQUIRE(listen(listener, 1) == 0);
+  std::string received;
+  std::optional<StreamEnd> end;
+  TcpStream stream(
+    loop,
+    StreamEvents{ nullptr,
+                  [&](std::string_view aBytes) { received.append(aBytes); },
+                  nullptr,
+                  [&](StreamEnd aEnd) { end = aEnd; } });
+  stream.Connect(address, Millis(500), Millis(500));
+  const int peer = accept(listener, nullptr, nullptr);
+  REQUIRE(peer >= 0);
+  REQUIRE(support::RunUntil(
+    loop, [&] { return stream.IsConnected(); }, Millis(1000)));
+  REQUIRE(send(peer, "part", 4, 0) == 4);
+  REQUIRE(support::RunUntil(
+    loop, [&] { return received == "part"; }, Millis(1000)));
+  const linger abortive{ 1, 0 };
+  setsockopt(peer, SOL_SOCKET, SO_LINGER, &abortive, sizeof abortive);
+  close(peer);
+  close(listener);
+  for (int i = 0; i < 3; ++i) {
+    stream.Write("more of a long upload");
+  }
+  REQUIRE(support::RunUntil(
+    loop, [&] { return end.has_value(); }, Millis(1000)));
+  CHECK(end == StreamEnd::Reset);
+}
