One memory budget for what is buffered for slow peers

Change: all send buffers, kept bodies and buffered answers count against 0.35 of memory_mb. A body's caller is paused while 256 KB of it are buffered, also while it waits for an endpoint (it was rejected then). The limit of each connection shrinks as the budget fills, and new large bodies are rejected from three quarters on.

--- a/src/sapphirehook/core/fwd.hpp
+++ b/src/sapphirehook/core/fwd.hpp
@@ -13,6 +13,8 @@
 class ArrivalClock;
 class BytePipe;
 class LatencyHistogram;
+class MemoryBudget;
+class BudgetedBytes;
 
 template<typename Type>
 class Ring;
--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -72,6 +72,13 @@
 
   void AbortAnswer() override { Fail(TextHead(kBadGateway), "answer cut off"); }
 
+  void PauseBody(bool aPaused) override
+  {
+    if (!m_answered && m_connection.m_current.get() == this) {
+      m_connection.PauseBody(aPaused);
+    }
+  }
+
   /** Answers with an error, or truncates an answer that has begun. */
   void Fail(const ResponseHead& aHead, std::string_view aBody)
   {
@@ -94,6 +101,9 @@
   void OnAnswered()
   {
     m_transaction = nullptr;
+    if (m_connection.m_current.get() == this) {
+      m_connection.PauseBody(false); // the rest of the body is skipped
+    }
     m_answered = true;
     m_answeredAt = BootClock::now();
   }
@@ -104,7 +114,8 @@
 
 CallerConnection::CallerConnection(EventLoop& aLoop,
                                    CallerEvents& aEvents,
-                                   HeldBytes& aHeld)
+                                   HeldBytes& aHeld,
+                                   std::shared_ptr<MemoryBudget> aBudget)
   : m_loop(aLoop)
   , m_events(aEvents)
   , m_stream(aLoop,
@@ -121,7 +132,9 @@
                             [this] { OnRequestComplete(); } })
   , m_timer(aLoop, [this] { OnTimer(); })
   , m_answers(m_stream, PipelineLimits{}, aHeld)
+  , m_budget(std::move(aBudget))
 {
+  m_stream.SetBudget(m_budget);
 }
 
 CallerConnection::~CallerConnection() = default;
@@ -163,15 +176,29 @@
   }
   m_backlog.push_back({ std::string(aBytes), 0, now });
   m_backlogBytes += aBytes.size();
-  if (m_backlogBytes > kMaxBacklog) {
-    m_stream.SetReading(false);
+  UpdateReading();
+}
+
+void
+CallerConnection::UpdateReading()
+{
+  m_stream.SetReading(!m_bodyPaused && m_backlogBytes <= kMaxBacklog);
+}
+
+void
+CallerConnection::PauseBody(bool aPaused)
+{
+  if (m_bodyPaused != aPaused && !m_closed) {
+    m_bodyPaused = aPaused;
+    UpdateReading();
+    ScheduleBacklog();
   }
 }
 
 bool
 CallerConnection::MayParse() const
 {
-  return !m_readsNothing && !m_headWaits &&
+  return !m_readsNothing && !m_headWaits && !m_bodyPaused &&
          (m_parser.IsInMessage() ||
           (m_answers.MayRead() && m_stream.Unsent() <= kMaxUnsent));
 }
@@ -220,8 +247,8 @@
       m_backlog.push_front(std::move(chunk));
     }
   }
-  if (m_backlogBytes <= kMaxBacklog && !m_readsNothing) {
-    m_stream.SetReading(true);
+  if (!m_readsNothing) {
+    UpdateReading();
   }
 }
 
@@ -409,7 +436,7 @@
 {
   return m_answers.ShouldPause(aExchange.Number()) ||
          (m_answers.IsFirst(aExchange.Number()) &&
-          m_stream.Unsent() > kMaxUnsent);
+          m_stream.Unsent() > m_budget->ConnectionLimit(kMaxUnsent));
 }
 
 void
--- a/src/sapphirehook/gateway/caller_connection.hpp
+++ b/src/sapphirehook/gateway/caller_connection.hpp
@@ -70,7 +70,10 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(EventLoop& aLoop, CallerEvents& aEvents, HeldBytes& aHeld);
+  CallerConnection(EventLoop& aLoop,
+                   CallerEvents& aEvents,
+                   HeldBytes& aHeld,
+                   std::shared_ptr<MemoryBudget> aBudget);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
@@ -121,6 +124,9 @@
   void OnAnswersChanged();
   void RetireWritten();
   [[nodiscard]] bool IsCongested(const Exchange& aExchange) const;
+  /** Stops or continues to read the body of the current request. */
+  void PauseBody(bool aPaused);
+  void UpdateReading();
   void PauseIfCongested(Exchange& aExchange);
   void ResumeAnswers();
   void RestartIdleTimer();
@@ -140,6 +146,10 @@
   std::shared_ptr<Exchange> m_current;
   std::deque<Chunk> m_backlog;
   std::size_t m_backlogBytes = 0;
+  std::shared_ptr<MemoryBudget> m_budget;
+  /** The body that is being read has to wait: what was read of it is not passed
+      on yet. */
+  bool m_bodyPaused = false;
   std::uint64_t m_bodyBytes = 0;
   TimePoint m_headReceivedAt{};
   /** A head is parsed, and its request waits until it may be passed on. */
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -54,7 +54,14 @@
 constexpr double kRelayLinkShare = 0.25;
 /** Time over which unused bandwidth for requested records accumulates. */
 constexpr std::chrono::duration<double> kMaxRelayCreditTime{ 0.25 };
-constexpr double kMegabit = 1e6; // bits
+constexpr double kMegabit = 1e6;  // bits
+constexpr double kMegabyte = 1e6; // bytes
+/** Share of the host's memory for bytes that are buffered for slow peers. The
+    process itself takes up to 12 MB, and the kernel's socket buffers count
+    too. */
+constexpr double kBufferMemoryShare = 0.35;
+/** Assumed memory of a host whose settings do not state it. */
+constexpr double kDefaultMemoryMb = 120.0;
 constexpr double kByteBits = 8.0;
 /** The process exits by itself this long before the stop grace period ends. */
 constexpr Millis kStopMargin{ 300 };
@@ -89,6 +96,15 @@
   return Millis(aIncarnation.m_startedAt) > now + kMaxClockDifference;
 }
 
+/** Returns the limit of the bytes that are buffered for slow peers. */
+std::size_t
+BufferBytes(const GatewaySettings& aSettings)
+{
+  const double megabytes =
+    aSettings.m_memoryMb > 0.0 ? aSettings.m_memoryMb : kDefaultMemoryMb;
+  return static_cast<std::size_t>(kBufferMemoryShare * megabytes * kMegabyte);
+}
+
 OwnershipSettings
 OwnershipSettingsOf(const GatewaySettings& aSettings)
 {
@@ -120,7 +136,8 @@
              m_log,
              { m_settings.m_zone,
                m_settings.m_retryBudget,
-               static_cast<std::uint32_t>(StableHash(m_settings.m_host)) })
+               static_cast<std::uint32_t>(StableHash(m_settings.m_host)),
+               BufferBytes(m_settings) })
   , m_gossip(m_loop,
              { m_settings.m_host, NewIncarnation() },
              [this](const HostId& aFrom, const GossipMessage& aMessage) {
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -75,6 +75,8 @@
                "sapphirehook_held_answer_bytes",
                "gauge",
                m_engine.HeldAnswerBytes());
+  AppendMetric(
+    text, "sapphirehook_buffered_bytes", "gauge", m_engine.BufferedBytes());
   constexpr std::string_view kAge = "sapphirehook_topic_age_seconds";
   AppendMetricType(text, kAge, "gauge");
   for (const auto& [topic, topicState] : m_topicStates) {
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -276,6 +276,7 @@
   transaction.m_done = true;
   transaction.m_sink = nullptr;
   transaction.m_body = {};
+  transaction.m_bodyBytes.Set(0);
   if (transaction.m_timer) {
     transaction.m_timer->Stop();
     m_loop.Retire(std::shared_ptr<Timer>(std::move(transaction.m_timer)));
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -19,6 +19,8 @@
 /** Retry-After of a request for a route that this version cannot apply. Another
     host may run a version that can. */
 constexpr Millis kUnusableRouteRetry{ 1000 };
+/** Size in bytes from which a body is rejected while memory is short. */
+constexpr std::uint64_t kLargeBody = 65'536;
 /** Extra latency of an answer from another zone. */
 constexpr Millis kZoneCost{ 3 };
 /** Latency that the choice of an endpoint adds for an upload to another zone.
@@ -36,6 +38,7 @@
   , m_log(aLog)
   , m_settings(std::move(aSettings))
   , m_chooser(m_settings.m_seed)
+  , m_budget(std::make_shared<MemoryBudget>(m_settings.m_bufferBytes))
 {
 }
 
@@ -133,7 +136,7 @@
 RequestEngine::AcceptCaller(int aSocket)
 {
   auto connection =
-    std::make_shared<CallerConnection>(m_loop, *this, m_heldBytes);
+    std::make_shared<CallerConnection>(m_loop, *this, m_heldBytes, m_budget);
   if (m_stopping) {
     connection->BeginStop();
   }
@@ -237,6 +240,7 @@
   transaction->m_routes = m_routes;
   transaction->m_route = route;
   transaction->m_sink = &aSink;
+  transaction->m_bodyBytes.Attach(m_budget);
   if (!Admit(transaction, aArrival)) {
     return nullptr;
   }
@@ -310,6 +314,12 @@
   if (aNow >= aTransaction.m_deadline) {
     return "deadline passed behind other requests";
   }
+  const auto& head = aTransaction.m_head;
+  const bool hasLargeBody =
+    head.m_hasBody && head.m_bodySize.value_or(kLargeBody) >= kLargeBody;
+  if (hasLargeBody && !m_budget->HasRoomForBody()) {
+    return "not enough memory for the body";
+  }
   if (m_stopping && aNow > m_lastArrival &&
       aTransaction.m_deadline > m_stopEnd) {
     return "stopping";
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -30,6 +30,9 @@
   /** Seed of the random choice of endpoints. Each daemon uses a different
       seed. */
   std::uint32_t m_seed = 1;
+  /** Limit of the bytes that are buffered for peers that read slowly. The
+      default fits a host of 100 MB. */
+  std::size_t m_bufferBytes = 40'000'000;
 };
 
 /** Load that this daemon puts on an endpoint. The daemon reports it to its
@@ -152,6 +155,12 @@
     return m_heldBytes.Total();
   }
 
+  /** Returns the bytes that are buffered for peers that read slowly. */
+  [[nodiscard]] std::size_t BufferedBytes() const noexcept
+  {
+    return m_budget->Used();
+  }
+
   [[nodiscard]] const EngineMetrics& Metrics() const noexcept
   {
     return m_metrics;
@@ -257,6 +266,8 @@
     TimePoint aNow,
     const Transaction& aTransaction,
     Endpoint& aEndpoint);
+  void KeepBody(const TransactionPtr& aTransaction, std::string_view aPiece);
+  void PauseBodyIfBuffered(Transaction& aTransaction) const;
   void SendTo(TimePoint aNow,
               const TransactionPtr& aTransaction,
               Endpoint& aEndpoint);
@@ -316,6 +327,7 @@
   std::uint32_t m_lastReportedHash = 0;
   std::size_t m_daemons = 1;
   HeldBytes m_heldBytes{ kMaxHeldBytes };
+  std::shared_ptr<MemoryBudget> m_budget;
   bool m_stopping = false;
   /** Set while stopping. */
   TimePoint m_lastArrival{};
--- a/src/sapphirehook/gateway/request_sends.cpp
+++ b/src/sapphirehook/gateway/request_sends.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/** Bytes of a request's body that may be buffered, unless memory is short,
+    before its caller has to wait: until they have been sent to the endpoint, or
+    until an endpoint has been found. */
+constexpr std::size_t kMaxUnsentBody = 262'144;
 /** Maximum size, in bytes, of a body that is kept for another attempt. */
 constexpr std::size_t kMaxKeptBody = 524'288;
 /** Maximum number of idle connections to one endpoint. */
@@ -103,7 +107,7 @@
     });
   if (found == idle.rend()) {
     return std::make_shared<UpstreamConnection>(
-      m_loop, m_protocol, aEndpoint.m_record.m_address);
+      m_loop, m_protocol, aEndpoint.m_record.m_address, m_budget);
   }
   auto connection = std::move(*found);
   idle.erase(std::next(found).base());
@@ -145,6 +149,11 @@
   events.m_onFault = [this, aTransaction](UpstreamFault aFault) {
     OnFault(aTransaction, aFault);
   };
+  events.m_onDrained = [aTransaction] {
+    if (aTransaction->m_sink != nullptr) {
+      aTransaction->m_sink->PauseBody(false);
+    }
+  };
   const bool hasBody = transaction.m_head.m_hasBody;
   connection->Send(transaction,
                    SerializeRequest(aNow, transaction, aEndpoint),
@@ -154,6 +163,8 @@
     connection->SendBody(transaction.m_body,
                          !transaction.m_head.m_bodySize.has_value(),
                          transaction.m_bodyComplete);
+    transaction.m_sink->PauseBody(false);
+    PauseBodyIfBuffered(transaction);
   }
 }
 
@@ -170,11 +181,40 @@
                                      !transaction.m_head.m_bodySize.has_value(),
                                      transaction.m_bodyComplete);
   }
+  KeepBody(aTransaction, aPiece);
+  PauseBodyIfBuffered(transaction);
+}
+
+/** Pauses a request's body while too much of it is buffered. */
+void
+RequestEngine::PauseBodyIfBuffered(Transaction& aTransaction) const
+{
+  if (aTransaction.m_done || aTransaction.m_sink == nullptr) {
+    return;
+  }
+  const auto buffered = aTransaction.m_upstream
+                          ? aTransaction.m_upstream->Unsent()
+                          : aTransaction.m_body.size();
+  if (buffered > m_budget->ConnectionLimit(kMaxUnsentBody)) {
+    aTransaction.m_sink->PauseBody(true);
+  }
+}
+
+/** Keeps a piece of a body for another attempt, as long as it is small. */
+void
+RequestEngine::KeepBody(const TransactionPtr& aTransaction,
+                        std::string_view aPiece)
+{
+  auto& transaction = *aTransaction;
   if (!transaction.m_bodyKept) {
     return;
   }
-  if (transaction.m_body.size() + aPiece.size() <= kMaxKeptBody) {
+  const auto limit = transaction.m_upstream
+                       ? m_budget->ConnectionLimit(kMaxKeptBody)
+                       : kMaxKeptBody;
+  if (transaction.m_body.size() + aPiece.size() <= limit) {
     transaction.m_body.append(aPiece);
+    transaction.m_bodyBytes.Set(transaction.m_body.capacity());
     return;
   }
   if (!transaction.m_upstream) {
@@ -183,6 +223,7 @@
   }
   transaction.m_bodyKept = false;
   transaction.m_body = {};
+  transaction.m_bodyBytes.Set(0);
 }
 
 void
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREHOOK_GATEWAY_TRANSACTION_HPP
 #define SAPPHIREHOOK_GATEWAY_TRANSACTION_HPP
 
+#include "sapphirehook/core/memory_budget.hpp"
 #include "sapphirehook/core/time.hpp"
 #include "sapphirehook/http1/head.hpp"
 #include "sapphirehook/keys/range.hpp"
@@ -39,6 +40,10 @@
      complete one: the connection closes, or an error takes the answer's place
      if none of it has been sent. */
   virtual void AbortAnswer() = 0;
+
+  /** Stops or continues to receive the body of the request, so that what is
+     buffered of it stays limited. */
+  virtual void PauseBody(bool aPaused) = 0;
 };
 
 /** State of a caller's request from its admission to its answer. */
@@ -55,6 +60,7 @@
 
   /** Received part of the body, kept for another attempt. */
   std::string m_body;
+  BudgetedBytes m_bodyBytes;
   bool m_bodyComplete = false;
   /** False once the body exceeds the size limit for keeping it. */
   bool m_bodyKept = true;
--- a/src/sapphirehook/gateway/upstream_connection.cpp
+++ b/src/sapphirehook/gateway/upstream_connection.cpp
@@ -25,9 +25,11 @@
 
 } // namespace
 
-UpstreamConnection::UpstreamConnection(EventLoop& aLoop,
-                                       const GatewayProtocol& aProtocol,
-                                       sockaddr_in aPeer)
+UpstreamConnection::UpstreamConnection(
+  EventLoop& aLoop,
+  const GatewayProtocol& aProtocol,
+  sockaddr_in aPeer,
+  const std::shared_ptr<MemoryBudget>& aBudget)
   : m_loop(aLoop)
   , m_protocol(aProtocol)
   , m_peer(aPeer)
@@ -35,17 +37,25 @@
              StreamEvents{ [this] {
                             m_requestSent = true;
                             const auto pending = std::exchange(m_pending, {});
+                            m_pendingBytes.Set(0);
                             m_stream.Write(pending);
                           },
                            [this](std::string_view aBytes) { OnData(aBytes); },
-                           nullptr,
+                           [this] {
+                             if (m_busy && m_events.m_onDrained) {
+                               m_events.m_onDrained();
+                             }
+                           },
                            [this](StreamEnd aEnd) { OnEnd(aEnd); } })
   , m_parser(HttpMessageType::Response,
              MessageEvents{ [this] { OnHead(); },
                             [this](std::string_view aPiece) { OnBody(aPiece); },
                             nullptr })
+  , m_pendingBytes(aBudget)
+  , m_bodyBytes(aBudget)
   , m_idleLimit(kIdleLimit)
 {
+  m_stream.SetBudget(aBudget);
 }
 
 void
@@ -94,6 +104,7 @@
     m_stream.Write(framed);
   } else {
     m_pending += framed;
+    m_pendingBytes.Set(m_pending.capacity());
   }
 }
 
@@ -166,12 +177,15 @@
   }
   if (!m_streaming && m_body.size() + aPiece.size() <= kMaxBufferedAnswer) {
     m_body.append(aPiece);
+    m_bodyBytes.Set(m_body.capacity());
     return;
   }
   if (!m_streaming) {
     m_streaming = true;
     m_events.m_onBegin(m_head);
-    m_events.m_onPiece(std::exchange(m_body, {}));
+    const auto begun = std::exchange(m_body, {});
+    m_bodyBytes.Set(0);
+    m_events.m_onPiece(begun);
   }
   m_events.m_onPiece(aPiece);
 }
@@ -225,6 +239,7 @@
     events.m_onEnd();
   } else {
     const auto body = std::exchange(m_body, {});
+    m_bodyBytes.Set(0);
     events.m_onAnswer(m_head, body);
   }
 }
--- a/src/sapphirehook/gateway/upstream_connection.hpp
+++ b/src/sapphirehook/gateway/upstream_connection.hpp
@@ -40,6 +40,8 @@
   std::function<void()> m_onEnd;
   /** The attempt failed. */
   std::function<void(UpstreamFault)> m_onFault;
+  /** All of the request's body that was passed on has been sent. */
+  std::function<void()> m_onDrained = {};
 };
 
 /** Connection to an endpoint that carries one request at a time. Answers are
@@ -53,7 +55,8 @@
 public:
   UpstreamConnection(EventLoop& aLoop,
                      const GatewayProtocol& aProtocol,
-                     sockaddr_in aPeer);
+                     sockaddr_in aPeer,
+                     const std::shared_ptr<MemoryBudget>& aBudget);
 
   /** Sends a request's head. If aBodyFollows is set, SendBody is called up to
       the last piece of the body. */
@@ -77,6 +80,12 @@
 
   [[nodiscard]] bool IsConnected() const { return m_stream.IsConnected(); }
 
+  /** Returns the bytes of the request that are not sent yet. */
+  [[nodiscard]] std::size_t Unsent() const noexcept
+  {
+    return m_stream.Unsent() + m_pending.size();
+  }
+
   /** Returns whether any byte of the request has left this daemon. */
   [[nodiscard]] bool IsRequestSent() const noexcept { return m_requestSent; }
 
@@ -99,9 +108,11 @@
   MessageParser m_parser;
   UpstreamEvents m_events;
   std::string m_pending;
+  BudgetedBytes m_pendingBytes;
   std::string m_attemptId;
   ResponseHead m_head;
   std::string m_body;
+  BudgetedBytes m_bodyBytes;
   TimePoint m_idleSince{};
   Millis m_idleLimit;
   bool m_busy = false;
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -18,6 +18,10 @@
 
 /** Size of the read buffer, which all streams of a thread share. */
 constexpr std::size_t kReadSize = 32'768;
+/** Sent bytes at the beginning of the send buffer, above which they are removed
+    from it. A connection whose buffer never empties would otherwise keep all
+    that it has ever sent. */
+constexpr std::size_t kCompactAfter = 65'536;
 /** An empty send buffer with a larger capacity, in bytes, is freed. */
 constexpr std::size_t kMaxIdleCapacity = 4'096;
 /** Maximum number of connections that are not accepted yet. */
@@ -117,6 +121,7 @@
   }
   if (!aBytes.empty()) {
     m_sendBuffer.append(aBytes);
+    m_buffered.Set(m_sendBuffer.capacity());
     Watch();
   }
 }
@@ -262,12 +267,8 @@
     }
     m_sent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
   }
+  CompactSendBuffer();
   if (Unsent() == 0) {
-    m_sent = 0;
-    m_sendBuffer.clear();
-    if (m_sendBuffer.capacity() > kMaxIdleCapacity) {
-      m_sendBuffer.shrink_to_fit();
-    }
     if (m_closing && !m_sendShutdown) {
       shutdown(m_socket, SHUT_WR);
       m_sendShutdown = true;
@@ -278,6 +279,24 @@
   Watch();
 }
 
+void
+TcpStream::CompactSendBuffer()
+{
+  if (Unsent() == 0) {
+    m_sent = 0;
+    m_sendBuffer.clear();
+    if (m_sendBuffer.capacity() > kMaxIdleCapacity) {
+      m_sendBuffer.shrink_to_fit();
+    }
+  } else if (m_sent >= kCompactAfter && m_sent >= Unsent()) {
+    m_sendBuffer.erase(0, std::exchange(m_sent, 0));
+    if (m_sendBuffer.capacity() / 4 > m_sendBuffer.size()) {
+      m_sendBuffer.shrink_to_fit();
+    }
+  }
+  m_buffered.Set(m_sendBuffer.capacity());
+}
+
 void
 TcpStream::OnReadable()
 {
--- a/src/sapphirehook/net/tcp_stream.hpp
+++ b/src/sapphirehook/net/tcp_stream.hpp
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREHOOK_NET_TCP_STREAM_HPP
 #define SAPPHIREHOOK_NET_TCP_STREAM_HPP
 
+#include "sapphirehook/core/memory_budget.hpp"
 #include "sapphirehook/core/time.hpp"
 #include "sapphirehook/net/event_loop.hpp"
 
@@ -56,6 +57,12 @@
 
   void Write(std::string_view aBytes);
 
+  /** Counts the send buffer in a budget. */
+  void SetBudget(std::shared_ptr<MemoryBudget> aBudget)
+  {
+    m_buffered.Attach(std::move(aBudget));
+  }
+
   /** Pauses or resumes reading. While reading is paused, the stream does not
       detect that the peer closes. */
   void SetReading(bool aReading);
@@ -84,6 +91,8 @@
   void OnWritable();
   void OnReadable();
   void Flush();
+  /** Frees the part of the send buffer that is sent. */
+  void CompactSendBuffer();
   void Watch();
   void End(StreamEnd aEnd);
   void OnTimeout();
@@ -97,6 +106,7 @@
   Timer m_timer;
   std::string m_sendBuffer;
   std::size_t m_sent = 0;
+  BudgetedBytes m_buffered;
   int m_socket = -1;
   bool m_connected = false;
   bool m_reading = true;
--- a/test/sapphirehook/gateway/faulty_answers.cpp
+++ b/test/sapphirehook/gateway/faulty_answers.cpp
@@ -242,3 +242,51 @@
   CHECK(Fixture::HasStatus(answer, 502));
   CHECK(answer.find("odd") == std::string::npos);
 }
+
+// Guards against the gateway's memory: uploads to endpoints that read slowly
+// were buffered without a limit.
+TEST_CASE("an upload to an endpoint that reads slowly is not buffered whole",
+          "[gateway]")
+{
+  Fixture fixture;
+  auto config = fixture.m_engine.Routes()->Config();
+  config.m_limits.m_bodyBytes = 50'000'000;
+  fixture.m_engine.SetRoutes(std::make_shared<const RouteTable>(config));
+  fixture.List("plain", false);
+  bool reads = false;
+  ScriptedEndpoint::Connection* upload = nullptr;
+  SECTION("while the endpoint has it")
+  {
+    fixture.SetScript([&](auto& aConnection, auto&) {
+      upload = &aConnection;
+      aConnection.m_stream->SetReading(reads);
+    });
+  }
+  SECTION("while it waits for an endpoint")
+  {
+    fixture.m_directory = EndpointDirectory(Millis(1600));
+    fixture.m_engine.SetEndpoints(BootClock::now(), fixture.m_directory);
+    reads = true;
+  }
+  constexpr std::size_t kSize = 30'000'000;
+  fixture.Send(Concat("POST /once/x HTTP/1.1\r\nHost: h\r\n",
+                      "X-Sapphirehook-Attempt-Id: u\r\nContent-Length: ",
+                      kSize,
+                      "\r\n\r\n"));
+  fixture.Send(std::string(kSize, 'x'));
+  std::size_t most = 0;
+  fixture.Until(
+    [&] {
+      most = std::max(most, fixture.m_engine.BufferedBytes());
+      return false;
+    },
+    Millis(150));
+  CHECK(most > 0);
+  CHECK(most < 2'000'000);
+  if (upload != nullptr) {
+    fixture.SetScript([](auto&, auto&) {});
+    upload->m_stream->SetReading(true);
+    CHECK(fixture.Until([&] { return fixture.m_one.m_bodies.size() == kSize; },
+                        Millis(400)));
+  }
+}
--- a/test/sapphirehook/net/tcp_stream.cpp
+++ b/test/sapphirehook/net/tcp_stream.cpp
@@ -127,3 +127,47 @@
     loop, [&] { return end.has_value(); }, Millis(1000)));
   CHECK(end == StreamEnd::Reset);
 }
+
+// Guards against a connection that keeps all bytes that it has ever sent, since
+// its buffer never was empty.
+TEST_CASE("a stream to a slow peer buffers only what is not sent", "[net]")
+{
+  EventLoop loop;
+  const sockaddr_in address = support::FreeAddress();
+  const auto budget =
+    std::make_shared<MemoryBudget>(std::size_t{ 100'000'000 });
+  std::shared_ptr<TcpStream> stream;
+  TcpListener listener(loop, [&](int aSocket) {
+    stream = std::make_shared<TcpStream>(loop, StreamEvents{});
+    setsockopt(
+      aSocket, SOL_SOCKET, SO_SNDBUF, &kBufferBytes, sizeof kBufferBytes);
+    stream->SetBudget(budget);
+    stream->Adopt(aSocket, Millis(0));
+  });
+  REQUIRE(listener.Listen(address));
+  const int peer = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, IPPROTO_TCP);
+  setsockopt(peer, SOL_SOCKET, SO_RCVBUF, &kBufferBytes, sizeof kBufferBytes);
+  REQUIRE(connect(peer,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof address) == 0);
+  fcntl(peer, F_SETFL, O_NONBLOCK);
+  REQUIRE(support::RunUntil(
+    loop, [&] { return stream != nullptr; }, Millis(1000)));
+  constexpr std::size_t kUnsent = 400'000;
+  std::string buffer(100'000, 'x');
+  std::size_t written = 0;
+  std::size_t mostBuffered = 0;
+  while (written < 40 * kUnsent) {
+    if (stream->Unsent() < kUnsent) {
+      stream->Write(std::string(50'000, 'x'));
+      written += 50'000;
+    }
+    mostBuffered = std::max(mostBuffered, budget->Used());
+    static_cast<void>(recv(peer, buffer.data(), buffer.size(), 0));
+    support::RunFor(loop, Millis(0));
+  }
+  CHECK(mostBuffered < 4 * kUnsent);
+  stream.reset();
+  CHECK(budget->Used() == 0);
+  close(peer);
+}
