Limits for keys whose demand exceeds their endpoint

Change: the leader computes from all daemons' counts which share of such a key's requests its endpoint can serve, and sends it with its heartbeats; each daemon admits that share and rejects the rest at once. A range that alone exceeds its endpoint's capacity moves only to one with at least 1.5 times the capacity.

--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -334,6 +334,9 @@
       .count();
   for (const auto& [name, ledService] : m_ledServices) {
     aHeartbeat.m_maps[name] = m_maps.Digests(name);
+    if (!ledService.m_keyLimits.empty()) {
+      aHeartbeat.m_keyLimits[name] = ledService.m_keyLimits;
+    }
   }
   if (aHeartbeat.m_leads) {
     aHeartbeat.m_successors = m_leadership.ChooseSuccessors(BootClock::now());
@@ -416,6 +419,13 @@
       aHeartbeat.m_term >= m_leadership.HighestTerm()) {
     m_leadership.SetSuccessors(aHeartbeat.m_successors);
     m_maps.OnDigests(aFrom, aHeartbeat.m_maps);
+    for (const auto& name : KeyedServices()) {
+      const auto limits = aHeartbeat.m_keyLimits.find(name);
+      m_engine.SetKeyLimits(name,
+                            limits != aHeartbeat.m_keyLimits.end()
+                              ? limits->second
+                              : std::vector<KeyLimit>());
+    }
   }
 }
 
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -132,6 +132,7 @@
 
     RangeManager m_rangeManager;
     RangePlanner m_planner;
+    std::vector<KeyLimit> m_keyLimits;
   };
 
   [[nodiscard]] bool KnowsHosts() const
@@ -146,6 +147,9 @@
                LedService& aLedService,
                const RangeManagerActions& aActions);
   void Plan();
+  void LimitKeys(const std::string& aName,
+                 LedService& aLedService,
+                 const std::vector<PlannerEndpoint>& aEndpoints);
   void TryClaim();
   void OnNewest(const KeyedPage& aPage);
   void Claim(Offset aEnd);
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -257,10 +257,39 @@
           .Add("to", move.m_to));
       ledService.m_rangeManager.Move(now, move.m_range, move.m_to);
     }
+    LimitKeys(name, ledService, endpoints);
   }
   TickSoon();
 }
 
+/** Limits the keys for which callers send more requests than their endpoints
+   can serve, on all daemons. */
+void
+Ownership::LimitKeys(const std::string& aName,
+                     LedService& aLedService,
+                     const std::vector<PlannerEndpoint>& aEndpoints)
+{
+  const auto limits = aLedService.m_planner.Limits(
+    aLedService.m_rangeManager.Ranges(), aEndpoints);
+  for (const auto& limit : limits) {
+    const bool isKnown = std::any_of(
+      aLedService.m_keyLimits.begin(),
+      aLedService.m_keyLimits.end(),
+      [&](const KeyLimit& aOne) { return aOne.m_key == limit.m_key; });
+    if (!isKnown) {
+      m_log.Write(LogLine("key-limited")
+                    .Add("service", aName)
+                    .Add("key", limit.m_key)
+                    .Add("rate",
+                         static_cast<int>(aLedService.m_planner.Rate(
+                           { limit.m_key, limit.m_key })))
+                    .Add("admitted_permille", limit.m_admittedPermille));
+    }
+  }
+  aLedService.m_keyLimits = limits;
+  m_engine.SetKeyLimits(aName, limits);
+}
+
 void
 Ownership::StoreChanges()
 {
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -21,6 +21,8 @@
 constexpr Millis kUnusableRouteRetry{ 1000 };
 /** Size in bytes from which a body is rejected while memory is short. */
 constexpr std::uint64_t kLargeBody = 65'536;
+/** Time over which the callers of a limited key are asked to come back. */
+constexpr Millis kKeyLimitRetry{ 1000 };
 /** Extra latency of an answer from another zone. */
 constexpr Millis kZoneCost{ 3 };
 /** Latency that the choice of an endpoint adds for an upload to another zone.
@@ -107,6 +109,13 @@
   ServiceOf(aService).m_ranges.Assign(aRoute);
 }
 
+void
+RequestEngine::SetKeyLimits(const std::string& aService,
+                            const std::vector<KeyLimit>& aLimits)
+{
+  ServiceOf(aService).m_keyAdmission.Set(BootClock::now(), aLimits);
+}
+
 void
 RequestEngine::SetDaemons(std::size_t aDaemons)
 {
@@ -248,6 +257,15 @@
     Refuse(transaction, *reason, Millis(0));
     return nullptr;
   }
+  if (transaction->m_key &&
+      !ServiceOf(transaction->m_service)
+         .m_keyAdmission.Admit(BootClock::now(), *transaction->m_key)) {
+    // The attempt id spreads the callers that come back.
+    const auto spread =
+      Millis(StableHash(transaction->m_attemptId) % kKeyLimitRetry.count());
+    Refuse(transaction, "key over its limit", spread);
+    return nullptr;
+  }
   SendOrEnqueue(transaction);
   return transaction->m_done ? nullptr : transaction;
 }
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -7,6 +7,7 @@
 #include "sapphirehook/gateway/engine_metrics.hpp"
 #include "sapphirehook/gateway/upstream_connection.hpp"
 #include "sapphirehook/keys/hot_key_counter.hpp"
+#include "sapphirehook/keys/key_limits.hpp"
 #include "sapphirehook/keys/range_map.hpp"
 #include "sapphirehook/placement/endpoint_choice.hpp"
 #include "sapphirehook/placement/retry_policy.hpp"
@@ -92,6 +93,10 @@
   /** Updates the owner of a key range of a service. */
   void SetRange(const std::string& aService, const RangeRoute& aRoute);
 
+  /** Sets the limits of a service's hot keys. */
+  void SetKeyLimits(const std::string& aService,
+                    const std::vector<KeyLimit>& aLimits);
+
   /** Returns the owners of a service's keys as known to this daemon. */
   [[nodiscard]] const RangeMap& Ranges(const std::string& aService)
   {
@@ -220,6 +225,7 @@
     RangeMap m_ranges;
     ServiceRetryBudget m_budget;
     HotKeyCounter m_keyCounter{ kKeyCounters };
+    KeyAdmission m_keyAdmission;
     std::list<TransactionPtr> m_waiting;
     /** Endpoints in this daemon's zone, and in other zones. */
     std::vector<Endpoint*> m_localZone;
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/core/message_pack.hpp"
 #include "sapphirehook/gateway/request_engine.hpp"
 #include "sapphirehook/gossip/topic_batch.hpp"
+#include "sapphirehook/keys/key_limits.hpp"
 #include "sapphirehook/keys/range_map.hpp"
 
 #include <map>
@@ -59,6 +60,8 @@
   std::vector<FleetUse> m_totals;
   /** For each followed topic, its end as the store reported it. */
   std::map<std::string, ReportedEnd> m_reportedEnds;
+  /** Limits of the hot keys of each keyed service. Set by the leader. */
+  std::map<std::string, std::vector<KeyLimit>> m_keyLimits;
 
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
@@ -75,7 +78,8 @@
                        m_daemons,
                        m_successors,
                        m_totals,
-                       m_reportedEnds)
+                       m_reportedEnds,
+                       m_keyLimits)
 };
 
 /** Request counts by key, sent to the leader. */
--- a/src/sapphirehook/keys/fwd.hpp
+++ b/src/sapphirehook/keys/fwd.hpp
@@ -15,6 +15,8 @@
 class RangeManager;
 class HotKeyCounter;
 class ArrivalWindow;
+struct KeyLimit;
+class KeyAdmission;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/keys/range_planner.cpp
+++ b/src/sapphirehook/keys/range_planner.cpp
@@ -18,6 +18,10 @@
 /** A difference of one request is never significant. */
 constexpr double kOneRequest = 1.0;
 
+/** A key is hot from this share of its endpoint's capacity on. Keys below it
+    move to other endpoints. */
+constexpr double kHotKeyShare = 0.4;
+
 /** Lower bound of a capacity that is used as a divisor, in requests a second.
  */
 constexpr double kMinCapacity = 0.1;
@@ -229,6 +233,47 @@
   return moves;
 }
 
+std::vector<KeyLimit>
+RangePlanner::Limits(const std::vector<RangeManager::Held>& aRanges,
+                     const std::vector<PlannerEndpoint>& aEndpoints) const
+{
+  struct Holder
+  {
+    double m_rate = 0.0;
+    std::vector<KeyRange> m_ranges;
+  };
+  std::map<std::string, Holder> holders;
+  for (const auto& range : aRanges) {
+    auto& holder = holders[range.m_endpoint];
+    holder.m_rate += Rate(range.m_range);
+    holder.m_ranges.push_back(range.m_range);
+  }
+  std::vector<KeyLimit> limits;
+  for (const auto& endpoint : aEndpoints) {
+    const double capacity = std::max(endpoint.m_capacity, kMinCapacity);
+    const auto& holder = holders[endpoint.m_name];
+    if (holder.m_rate <= capacity) {
+      continue;
+    }
+    std::vector<KeyRate> hot;
+    double hotRate = 0.0;
+    for (const auto& range : holder.m_ranges) {
+      for (std::uint32_t key = range.m_first; key <= range.m_last; ++key) {
+        const auto one = static_cast<Key>(key);
+        const double rate = Rate({ one, one });
+        if (rate >= capacity * kHotKeyShare) {
+          hot.push_back({ one, rate });
+          hotRate += rate;
+        }
+      }
+    }
+    const auto keys = LimitHotKeys(
+      capacity, std::max(holder.m_rate - hotRate, 0.0), std::move(hot));
+    limits.insert(limits.end(), keys.begin(), keys.end());
+  }
+  return limits;
+}
+
 /** Returns the endpoint of the lowest capacity among those that hold no range
     and are to receive less than their part, or null if there is none. */
 const RangePlanner::Load*
@@ -288,7 +333,10 @@
       aLoads.begin(), aLoads.end(), [&](const auto& aLeft, const auto& aRight) {
         return shareAfter(aLeft.second) < shareAfter(aRight.second);
       });
-    if (&to->second == &aFrom || piece->m_rate <= 0.0 ||
+    const bool exceedsHolder =
+      piece->m_rate >= aFrom.m_capacity &&
+      to->second.m_capacity < aFrom.m_capacity * m_config.m_minCapacityRatio;
+    if (&to->second == &aFrom || piece->m_rate <= 0.0 || exceedsHolder ||
         shareAfter(to->second) > aFrom.Share() * m_config.m_maxLoadRatio) {
       continue;
     }
--- a/src/sapphirehook/keys/range_planner.hpp
+++ b/src/sapphirehook/keys/range_planner.hpp
@@ -2,6 +2,7 @@
 #define SAPPHIREHOOK_KEYS_RANGE_PLANNER_HPP
 
 #include "sapphirehook/keys/hot_key_counter.hpp"
+#include "sapphirehook/keys/key_limits.hpp"
 #include "sapphirehook/keys/range_manager.hpp"
 
 #include <cmath>
@@ -39,6 +40,10 @@
   double m_maxLoadRatio = 0.9;
   /** Largest number of ranges that move in one round. */
   std::size_t m_maxMoves = 48;
+  /** A piece with more load than its endpoint can serve moves only to an
+      endpoint with at least this many times the capacity. Its backlog has to
+      end before the endpoint releases it, so that a move interrupts it. */
+  double m_minCapacityRatio = 1.5;
   /** Number of ranges above which none is split. Whole ranges then move only
       off overloaded endpoints, and to endpoints without any. */
   std::size_t m_maxRanges = kMaxSplitRanges;
@@ -84,6 +89,12 @@
     const std::vector<RangeManager::Held>& aRanges,
     const std::vector<PlannerEndpoint>& aEndpoints) const;
 
+  /** Returns the limits of the keys for which callers send more requests than
+      their endpoints can serve. */
+  [[nodiscard]] std::vector<KeyLimit> Limits(
+    const std::vector<RangeManager::Held>& aRanges,
+    const std::vector<PlannerEndpoint>& aEndpoints) const;
+
   /** Returns the requests a second on a range. */
   [[nodiscard]] double Rate(KeyRange aRange) const;
 
