--- a/src/sapphirehook/placement/fwd.hpp
+++ b/src/sapphirehook/placement/fwd.hpp
@@ -5,9 +5,11 @@
     is refused or retried. This code uses no clock, socket or thread. */
 namespace sapphirehook {
 
+class ColdStart;
 class EndpointLoad;
 class ServiceRetryBudget;
 class EndpointChooser;
+class KnownHosts;
 struct AttemptState;
 enum class AttemptEnd : unsigned char;
 
