Ranges of evacuated endpoints move a few at a time

Cause: all ranges of an unusable endpoint are released at once, so an evacuated zone would leave all of its keys without a holder for the time of a move.

Change: an endpoint that is to be evacuated by a point in time keeps the leases of its ranges until their turn. The number that moves at a time follows from the ranges and the time that are left, so a new leader continues without further state. Ranges of such endpoints are not merged.

--- a/src/sapphirehook/keys/range_manager.hpp
+++ b/src/sapphirehook/keys/range_manager.hpp
@@ -3,6 +3,7 @@
 
 #include "sapphirehook/keys/range_map.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,11 @@
   /** Largest number of grants in one round. A new leader has all ranges to
       grant, and its heartbeats must still reach the other daemons meanwhile. */
   std::size_t m_grantsPerRound = 40;
+  /** Time that the move of one range takes: its release, which waits for the
+      work in progress, the append to the store and the grant. */
+  Millis m_moveTime{ 500 };
+  /** Smallest number of ranges of evacuated endpoints that move at a time. */
+  std::size_t m_minEvacuationMoves = 4;
 };
 
 /** Safety rules for moving ranges. Tests switch off one rule at a time and show
@@ -72,6 +78,10 @@
   bool m_unresponsive = false;
   /** Capacity relative to other endpoints. */
   double m_capacity = 1.0;
+  /** The endpoint is evacuated: it is to get no more ranges, and those that it
+      has move a few at a time, so that all have moved by this time. Each keeps
+      its lease until its turn. */
+  std::optional<TimePoint> m_evacuateBy{};
 };
 
 /** A grant that is to be sent to an endpoint. */
@@ -193,6 +203,9 @@
   };
   [[nodiscard]] std::vector<Held> Ranges() const;
 
+  /** Returns the number of ranges that evacuated endpoints still hold. */
+  [[nodiscard]] std::size_t RangesToEvacuate() const;
+
   /** Returns the routes of all ranges, for daemons that have none. */
   [[nodiscard]] std::vector<RangeRoute> Routes() const;
 
@@ -245,6 +258,12 @@
       range to its count. Returns null if no endpoint may receive a range. */
   [[nodiscard]] const RangeManagerEndpoint* ChooseTarget(const Range& aRange);
   [[nodiscard]] bool OwnerIsUsable(const Range& aRange) const;
+  /** Returns when the owner of a range is to be evacuated by. Empty if it is
+      not evacuated, or is unresponsive and thus lost. */
+  [[nodiscard]] std::optional<TimePoint> EvacuateBy(const Range& aRange) const;
+  /** Computes how many ranges may begin to move off evacuated endpoints in this
+      round. */
+  void PlanEvacuation(TimePoint aNow);
   [[nodiscard]] bool MayHaveHolder(const Range& aRange) const;
   void TrackOwnerRestart(Range& aRange);
   void BeginMove(TimePoint aNow, Range& aRange, const EndpointIncarnation& aTo);
@@ -294,6 +313,10 @@
   /** Size of the parts into which the ranges of a lost endpoint are split, so
       that its keys go to several others. */
   std::uint32_t m_redistributionKeys = kKeyCount;
+  /** Number of ranges that may still begin to move off evacuated endpoints in
+      this round. */
+  std::size_t m_evacuationMoves = 0;
+  bool m_hasEvacuations = false;
 };
 
 extern template class BasicRangeManager<RangeManagerRules>;
--- a/src/sapphirehook/keys/range_manager_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_impl.hpp
@@ -2,6 +2,7 @@
 #define SAPPHIREHOOK_KEYS_RANGE_MANAGER_IMPL_HPP
 
 #include "sapphirehook/keys/range_manager.hpp"
+#include "sapphirehook/keys/range_manager_evacuation_impl.hpp"
 #include "sapphirehook/keys/range_manager_ranges_impl.hpp"
 #include "sapphirehook/keys/range_manager_store_impl.hpp"
 
@@ -73,9 +74,11 @@
 {
   m_endpoints.clear();
   std::uint32_t usable = 0;
+  m_hasEvacuations = false;
   for (const auto& endpoint : aEndpoints) {
     m_endpoints.emplace(endpoint.m_incarnation, endpoint);
     usable += endpoint.m_usable ? 1 : 0;
+    m_hasEvacuations = m_hasEvacuations || endpoint.m_evacuateBy;
   }
   const auto parts =
     std::max<std::uint32_t>(usable, 1) * internal::kRedistributionParts;
@@ -280,6 +283,7 @@
   m_changed.clear();
   m_moreGrants = false;
   MergeNeighbours(aNow);
+  PlanEvacuation(aNow);
   // Begins where the last round reached the limit of grants, so that no range
   // starves.
   const auto begin = m_ranges.lower_bound(m_beginAt);
@@ -336,16 +340,21 @@
   if (aRange.m_granted && aNow >= aRange.m_expectedExpiry) {
     SetGranted(aRange, false);
   }
-  if (!OwnerIsUsable(aRange)) {
+  const bool waitsForEvacuation = EvacuateBy(aRange) && m_evacuationMoves == 0;
+  if (!OwnerIsUsable(aRange) && !waitsForEvacuation) {
     // A range that nobody has held yet has its initial size.
     if (!aRange.m_owner.m_name.empty() && m_ranges.size() < kMaxSplitRanges) {
       SplitForRedistribution(aRange.m_range);
     }
     const auto* target = ChooseTarget(aRange);
     if (target != nullptr) {
+      m_evacuationMoves -= EvacuateBy(aRange) ? 1 : 0;
       BeginMove(aNow, aRange, target->m_incarnation);
+      return;
+    }
+    if (!EvacuateBy(aRange)) {
+      return;
     }
-    return;
   }
   if (aRange.m_grantId == 0 && aNow >= aRange.m_dueAt && MayGrant(aRange)) {
     if (aActions.m_grants.size() < m_times.m_grantsPerRound) {
--- a/src/sapphirehook/keys/range_manager_ranges_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_ranges_impl.hpp
@@ -129,6 +129,7 @@
            aRange.m_handover.empty() && !aRange.m_needsFence;
   };
   return aLower.m_owner == aUpper.m_owner && isIdle(aLower) && isIdle(aUpper) &&
+         !EvacuateBy(aLower) &&
          aLower.m_range.m_first / kBlockKeys ==
            aUpper.m_range.m_last / kBlockKeys;
 }
