The directory keeps evacuated zones and notices endpoints that turn cold

An endpoint of an evacuated zone is not usable until the zone returns, also an incarnation that starts meanwhile. A rise of the time for which a running endpoint stays cold counts as a change of its entry.

--- a/src/sapphirehook/discovery/endpoint_directory.cpp
+++ b/src/sapphirehook/discovery/endpoint_directory.cpp
@@ -14,16 +14,53 @@
     return false; // a delayed record of an earlier incarnation
   }
   const bool same = before.m_incarnation == aRecord.m_incarnation;
-  const bool changed = !same || known.m_removedAt ||
-                       before.m_draining != aRecord.m_draining ||
-                       before.m_service != aRecord.m_service;
+  const bool changed =
+    !same || known.m_removedAt || before.m_draining != aRecord.m_draining ||
+    before.m_service != aRecord.m_service || before.m_zone != aRecord.m_zone;
   // An incarnation that has started draining never accepts work again.
   aRecord.m_draining = aRecord.m_draining || (same && before.m_draining);
+  // The time left may rise at any time, also for a running endpoint.
+  const bool turnsCold =
+    aRecord.m_warmUpLeft > Millis(0) && (!same || aNow >= known.m_warmAt);
+  if (turnsCold) {
+    known.m_coldSince = aNow;
+  }
+  if (!same) {
+    known.m_returnedAt = {};
+  }
   known.m_warmAt = aNow + aRecord.m_warmUpLeft;
   known.m_readAt = aNow;
   known.m_removedAt.reset();
   known.m_record = std::move(aRecord);
-  return changed;
+  return changed || turnsCold;
+}
+
+bool
+EndpointDirectory::BeginEvacuation(const std::string& aZone, TimePoint aSince)
+{
+  return m_evacuations.emplace(aZone, aSince).second;
+}
+
+bool
+EndpointDirectory::EndEvacuation(TimePoint aNow, const std::string& aZone)
+{
+  if (m_evacuations.erase(aZone) == 0) {
+    return false;
+  }
+  for (auto& [name, known] : m_endpoints) {
+    if (known.m_record.m_zone == aZone) {
+      known.m_returnedAt = aNow;
+    }
+  }
+  return true;
+}
+
+std::optional<TimePoint>
+EndpointDirectory::EvacuatedSince(const KnownEndpoint& aEndpoint) const
+{
+  const auto found = m_evacuations.find(aEndpoint.m_record.m_zone);
+  return found == m_evacuations.end() ? std::nullopt
+                                      : std::optional(found->second);
 }
 
 void
@@ -53,7 +90,15 @@
 
 bool
 EndpointDirectory::IsUsable(TimePoint aNow,
-                            const KnownEndpoint& aEndpoint) const noexcept
+                            const KnownEndpoint& aEndpoint) const
+{
+  return IsUsableApartFromZone(aNow, aEndpoint) && !EvacuatedSince(aEndpoint);
+}
+
+bool
+EndpointDirectory::IsUsableApartFromZone(
+  TimePoint aNow,
+  const KnownEndpoint& aEndpoint) const noexcept
 {
   return !aEndpoint.m_record.m_draining &&
          (!aEndpoint.m_removedAt || aNow < aEndpoint.m_removalEffectiveAt);
--- a/src/sapphirehook/discovery/endpoint_directory.hpp
+++ b/src/sapphirehook/discovery/endpoint_directory.hpp
@@ -47,8 +47,13 @@
   EndpointRecord m_record;
   /** When the record was read. */
   TimePoint m_readAt{};
-  /** When the endpoint's slow phase after its start ends. */
+  /** When the endpoint's slow phase ends. */
   TimePoint m_warmAt{};
+  /** When this host learned that the endpoint is cold. */
+  TimePoint m_coldSince{};
+  /** When the evacuation of the endpoint's zone ended. Its caches have not been
+      used since the evacuation, so it counts as cold from then on. */
+  TimePoint m_returnedAt{};
   /** When the removal of the entry was read. Empty while the endpoint is
       listed. */
   std::optional<TimePoint> m_removedAt;
@@ -56,9 +61,9 @@
   TimePoint m_removalEffectiveAt{};
 };
 
-/** The endpoints by name. Removals around an outage of the store only take
-    effect after a grace period, because entries also lapse while the store is
-    unavailable. */
+/** The endpoints by name, and the evacuated zones. Removals around an outage of
+   the store only take effect after a grace period, because entries also lapse
+   while the store is unavailable. */
 class EndpointDirectory
 {
 public:
@@ -82,9 +87,35 @@
   /** Deletes endpoints whose removal took effect at least aAfter ago. */
   void Forget(TimePoint aNow, Millis aAfter);
 
+  /** Records that nothing may be sent to the endpoints of a zone. The operators
+      may have requested it as early as aSince. Returns false if the zone is
+      evacuated already. */
+  bool BeginEvacuation(const std::string& aZone, TimePoint aSince);
+
+  /** Records that the endpoints of a zone may get work again. Returns false if
+      the zone is not evacuated. */
+  bool EndEvacuation(TimePoint aNow, const std::string& aZone);
+
+  /** Returns since when the zone of an endpoint is evacuated, or nothing. */
+  [[nodiscard]] std::optional<TimePoint> EvacuatedSince(
+    const KnownEndpoint& aEndpoint) const;
+
+  /** Returns the evacuated zones with the times since when they are. */
+  [[nodiscard]] const std::map<std::string, TimePoint>& Evacuations()
+    const noexcept
+  {
+    return m_evacuations;
+  }
+
   /** Returns whether an endpoint may get new work. */
   [[nodiscard]] bool IsUsable(TimePoint aNow,
-                              const KnownEndpoint& aEndpoint) const noexcept;
+                              const KnownEndpoint& aEndpoint) const;
+
+  /** Returns whether an endpoint would be usable if its zone were not
+      evacuated. Such an endpoint serves its keys until they have moved. */
+  [[nodiscard]] bool IsUsableApartFromZone(
+    TimePoint aNow,
+    const KnownEndpoint& aEndpoint) const noexcept;
 
   /** Returns an endpoint, or null if none has the name. */
   [[nodiscard]] const KnownEndpoint* Find(const std::string& aName) const;
@@ -97,6 +128,7 @@
 private:
   Millis m_returnGrace;
   std::map<std::string, KnownEndpoint> m_endpoints;
+  std::map<std::string, TimePoint> m_evacuations;
 };
 
 } // namespace sapphirehook
--- a/test/sapphirehook/discovery/endpoint_directory.cpp
+++ b/test/sapphirehook/discovery/endpoint_directory.cpp
@@ -94,3 +94,64 @@
     CHECK_FALSE(Usable(directory, 10));
   }
 }
+
+// Guards against full load on a running endpoint that turns cold.
+TEST_CASE("a rise of the time for which an endpoint stays cold is a change",
+          "[discovery][cold]")
+{
+  EndpointDirectory directory(Millis(1600));
+  auto record = Record(1, false);
+  directory.OnRecord(At(0), record);
+  CHECK_FALSE(directory.OnRecord(At(10), record));
+  record.m_warmUpLeft = Millis(800);
+  CHECK(directory.OnRecord(At(20), record));
+  CHECK(directory.Find("e")->m_warmAt == At(820));
+  CHECK(directory.Find("e")->m_coldSince == At(20));
+  record.m_warmUpLeft = Millis(700);
+  CHECK_FALSE(directory.OnRecord(At(120), record));
+  CHECK(directory.Find("e")->m_coldSince == At(20));
+  record.m_warmUpLeft = Millis(500);
+  CHECK(directory.OnRecord(At(900), record));
+  CHECK(directory.Find("e")->m_coldSince == At(900));
+}
+
+// Guards against work for an evacuated zone, and against a zone that stays
+// evacuated or returns at full load.
+TEST_CASE("endpoints of an evacuated zone are not usable until it returns",
+          "[discovery][evacuation]")
+{
+  EndpointDirectory directory(Millis(1600));
+  auto record = Record(1, false);
+  record.m_zone = "z1";
+  CHECK(directory.BeginEvacuation("z2", At(1)));
+  directory.OnRecord(At(5), record);
+  CHECK(Usable(directory, 5));
+  CHECK(directory.BeginEvacuation("z1", At(10)));
+  CHECK_FALSE(directory.BeginEvacuation("z1", At(20)));
+  CHECK_FALSE(Usable(directory, 20));
+  const auto& known = *directory.Find("e");
+  CHECK(directory.EvacuatedSince(known) == At(10));
+  CHECK(directory.IsUsableApartFromZone(At(20), known));
+  SECTION("also an incarnation that starts during the evacuation")
+  {
+    record.m_incarnation.m_startedAt = 2;
+    directory.OnRecord(At(30), record);
+    CHECK_FALSE(Usable(directory, 30));
+  }
+  SECTION("a draining endpoint stays unusable")
+  {
+    record.m_draining = true;
+    directory.OnRecord(At(30), record);
+    CHECK_FALSE(directory.IsUsableApartFromZone(At(30), known));
+    directory.EndEvacuation(At(40), "z1");
+    CHECK_FALSE(Usable(directory, 40));
+  }
+  SECTION("the return of the zone")
+  {
+    CHECK(directory.EndEvacuation(At(40), "z1"));
+    CHECK_FALSE(directory.EndEvacuation(At(41), "z1"));
+    CHECK(Usable(directory, 40));
+    CHECK(directory.Find("e")->m_returnedAt == At(40));
+    CHECK(directory.Evacuations().size() == 1);
+  }
+}
