Cold endpoints and evacuated zones in the gateway

Change: the request engine asks ColdStart before it sends to a cold endpoint, and plans ranges with at most the tolerated rate. The records of evacuated zones are read with the configuration. When a zone returns, its endpoints count as cold.

--- a/src/sapphirehook/gateway/engine_metrics.cpp
+++ b/src/sapphirehook/gateway/engine_metrics.cpp
@@ -33,6 +33,7 @@
   counter("sapphirehook_unrouted_total", aMetrics.m_unrouted);
   counter("sapphirehook_unusable_route_total", aMetrics.m_unusableRoutes);
   counter("sapphirehook_repeats_total", aMetrics.m_retries);
+  counter("sapphirehook_cold_held_back_total", aMetrics.m_coldHeldBack);
   counter("sapphirehook_callers_gone_total", aMetrics.m_callersGone);
   counter("sapphirehook_pipelined_total", aMetrics.m_pipelined);
 
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -101,6 +101,7 @@
     static_cast<std::size_t>(kGrantsPerCore * aSettings.m_processorShare),
     kMinGrants,
     settings.m_rangeManager.m_grantsPerRound);
+  settings.m_evacuation = aSettings.m_evacuation;
   settings.m_leadership.m_leaseDuration =
     settings.m_rangeManager.m_leaseDuration;
   settings.m_mapBytesPerSecond =
@@ -120,7 +121,11 @@
              m_log,
              { m_settings.m_zone,
                m_settings.m_retryBudget,
-               static_cast<std::uint32_t>(StableHash(m_settings.m_host)) })
+               static_cast<std::uint32_t>(StableHash(m_settings.m_host)),
+               m_settings.m_host,
+               m_settings.m_warmUpOverrun,
+               m_settings.m_warmUpSlack,
+               m_settings.m_evacuation })
   , m_gossip(m_loop,
              { m_settings.m_host, NewIncarnation() },
              [this](const HostId& aFrom, const GossipMessage& aMessage) {
@@ -288,6 +293,11 @@
 void
 Gateway::OnConfig(const KeyedRecord& aRecord)
 {
+  const auto& prefix = m_protocol.m_evacuationPrefix;
+  if (!prefix.empty() && aRecord.m_key.starts_with(prefix)) {
+    OnEvacuation(aRecord.m_key.substr(prefix.size()), aRecord);
+    return;
+  }
   if (aRecord.m_key != m_protocol.m_configKey || !aRecord.m_value) {
     return;
   }
@@ -315,6 +325,7 @@
                 LogPriority::State);
     LogIssues(*config);
     m_engine.SetRoutes(std::make_shared<const RouteTable>(*std::move(config)));
+    QueueEndpointsChanged(); // the services have limits for cold endpoints
     m_ownership.OnChange();
   }
 }
@@ -375,7 +386,21 @@
                   .Add("offset", aRecord.m_offset),
                 LogPriority::Routine);
     m_directory.OnRecord(now, *std::move(record));
+    const auto* known = m_directory.Find(aRecord.m_key);
+    if (known != nullptr && known->m_coldSince == now) {
+      m_log.Write(LogLine("endpoint-cold")
+                    .Add("endpoint", aRecord.m_key)
+                    .Add("service", known->m_record.m_service)
+                    .Add("left_ms", known->m_record.m_warmUpLeft)
+                    .Add("offset", aRecord.m_offset));
+    }
   }
+  QueueEndpointsChanged();
+}
+
+void
+Gateway::QueueEndpointsChanged()
+{
   if (!m_endpointsQueued) {
     m_endpointsQueued = true;
     m_loop.Defer([this] { OnEndpointsChanged(); });
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -44,6 +44,13 @@
   void OnHostFound();
   void OnConfig(const KeyedRecord& aRecord);
   void LogIssues(const RoutingConfig& aConfig);
+  void OnEvacuation(const std::string& aZone, const KeyedRecord& aRecord);
+  /** Logs when the last range of an evacuated zone has moved. */
+  void WatchEvacuations(TimePoint aNow);
+  /** Passes the names of the registered hosts to the request engine. */
+  void UpdateHosts();
+  /** Calls OnEndpointsChanged soon. */
+  void QueueEndpointsChanged();
   void OnEndpoint(const KeyedRecord& aRecord);
   void OnEndpointsChanged();
   void OnStoreFailure(std::string_view aTopic, StoreAnswer aAnswer);
@@ -130,6 +137,8 @@
   TimePoint m_probedAt{};
   OutageWatch m_outages;
   bool m_endpointsQueued = false;
+  /** Evacuated zones whose last range has moved. */
+  std::set<std::string> m_emptyZones;
   TimePoint m_startedAt = BootClock::now();
   bool m_stopping = false;
   TimePoint m_stopBegan{};
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -77,6 +77,9 @@
   }
   ChooseReaders(now);
   CatchUp(now);
+  UpdateHosts();
+  WatchEvacuations(now);
+  m_engine.ProcessQueues(); // a cold endpoint may admit the next request
   m_log.Flush();
 }
 
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -75,6 +75,17 @@
                "sapphirehook_held_answer_bytes",
                "gauge",
                m_engine.HeldAnswerBytes());
+  AppendMetric(
+    text, "sapphirehook_cold_endpoints", "gauge", m_engine.ColdEndpoints(now));
+  AppendMetric(text,
+               "sapphirehook_evacuated_zones",
+               "gauge",
+               m_directory.Evacuations().size());
+  std::size_t left = 0;
+  for (const auto& [zone, since] : m_directory.Evacuations()) {
+    left += m_engine.RangesInZone(zone);
+  }
+  AppendMetric(text, "sapphirehook_evacuated_ranges", "gauge", left);
   constexpr std::string_view kAge = "sapphirehook_topic_age_seconds";
   AppendMetricType(text, kAge, "gauge");
   for (const auto& [topic, topicState] : m_topicStates) {
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -26,6 +26,8 @@
   RangeManagerTimes m_rangeManager;
   /** Limit of the map data sent on request, in bytes per second. */
   double m_mapBytesPerSecond = 0.0;
+  /** Time after which the endpoints of an evacuated zone get no requests. */
+  Millis m_evacuation{ 5000 };
 };
 
 /** This daemon's part in key ownership. As the leader it grants ranges to
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -31,6 +31,9 @@
     term: the lease duration, less the renewal interval, the heartbeat timeout
     that detects the loss of a leader, and the duration of the claim. */
 constexpr Millis kPresumedLeaseDuration{ 1500 };
+/** The ranges of an evacuated zone have moved this long before the time limit:
+    shortly before the daemons refuse the requests for their keys. */
+constexpr Millis kEvacuationMoveMargin{ 1000 };
 
 } // namespace
 
@@ -114,6 +117,11 @@
       endpoint.m_unresponsive = commands->second->IsUnresponsive(aNow);
     }
     endpoint.m_capacity = m_engine.CapacityOf(name);
+    if (const auto since = m_directory.EvacuatedSince(known);
+        since && m_directory.IsUsableApartFromZone(aNow, known)) {
+      endpoint.m_evacuateBy =
+        *since + m_settings.m_evacuation - kEvacuationMoveMargin;
+    }
     endpoints.push_back(std::move(endpoint));
   }
   return endpoints;
--- a/src/sapphirehook/gateway/protocol.hpp
+++ b/src/sapphirehook/gateway/protocol.hpp
@@ -30,6 +30,8 @@
   /** Topic and key of the current routing configuration. */
   std::string m_configTopic;
   std::string m_configKey;
+  /** Prefix of the keys in the same topic that name evacuated zones. */
+  std::string m_evacuationPrefix;
   absl::StatusOr<RoutingConfig> (*m_parseConfig)(std::string_view aText);
 
   /** Topic of the endpoint entries, keyed by endpoint name. */
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -36,6 +36,7 @@
   , m_log(aLog)
   , m_settings(std::move(aSettings))
   , m_chooser(m_settings.m_seed)
+  , m_hosts(m_settings.m_host)
 {
 }
 
@@ -62,7 +63,7 @@
     }
     endpoint->m_record = record;
     endpoint->m_usable = aDirectory.IsUsable(aNow, known);
-    endpoint->m_warmAt = known.m_warmAt;
+    UpdateColdStart(aNow, aDirectory, known, *endpoint);
   }
   std::erase_if(m_endpoints, [&](const auto& aEntry) {
     return aDirectory.Find(aEntry.first) == nullptr;
@@ -109,6 +110,7 @@
 {
   m_daemons = std::max<std::size_t>(aDaemons, 1);
   m_chooser.SetDaemons(m_daemons);
+  m_hosts.RaiseCount(m_daemons);
   for (auto& [name, service] : m_services) {
     service.m_budget.SetDaemons(m_daemons);
   }
@@ -331,6 +333,7 @@
       Refuse(aTransaction, "too many wait", wait - maxWait);
       return;
     }
+    CountHeldBack(now, *aTransaction);
     Enqueue(aTransaction);
   }
   if (!aTransaction->m_done) {
@@ -386,9 +389,10 @@
   if (holder == nullptr) {
     return nullptr;
   }
-  const bool isAvailable = holder->m_usable &&
-                           holder->m_load.HasCapacity(aNow) &&
-                           !holder->m_load.IsEjected(aNow);
+  const bool isAvailable =
+    (holder->m_usable || aNow < holder->m_servesKeysUntil) &&
+    holder->m_load.HasCapacity(aNow) && !holder->m_load.IsEjected(aNow) &&
+    AdmitsCold(aNow, aTransaction, *holder);
   return isAvailable ? holder : nullptr;
 }
 
@@ -418,7 +422,7 @@
     [&](const Endpoint& aEndpoint) -> std::optional<std::chrono::nanoseconds> {
     const auto& load = aEndpoint.m_load;
     if (!aEndpoint.m_usable || !load.HasCapacity(aNow) ||
-        load.IsEjected(aNow)) {
+        load.IsEjected(aNow) || !AdmitsCold(aNow, aTransaction, aEndpoint)) {
       return std::nullopt;
     }
     auto time = load.ExpectedFinish(
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -8,6 +8,7 @@
 #include "sapphirehook/gateway/upstream_connection.hpp"
 #include "sapphirehook/keys/hot_key_counter.hpp"
 #include "sapphirehook/keys/range_map.hpp"
+#include "sapphirehook/placement/cold_start.hpp"
 #include "sapphirehook/placement/endpoint_choice.hpp"
 #include "sapphirehook/placement/retry_policy.hpp"
 #include "sapphirehook/placement/service_retry_budget.hpp"
@@ -30,6 +31,13 @@
   /** Seed of the random choice of endpoints. Each daemon uses a different
       seed. */
   std::uint32_t m_seed = 1;
+  std::string m_host{};
+  /** A cold endpoint gets at most its tolerated rate times the first number,
+      plus the second, in one second from all daemons. */
+  double m_warmUpOverrun = 1.0;
+  double m_warmUpSlack = 0.0;
+  /** Time after which the endpoints of an evacuated zone get no requests. */
+  Millis m_evacuation{ 5000 };
 };
 
 /** Load that this daemon puts on an endpoint. The daemon reports it to its
@@ -115,6 +123,17 @@
   /** Sets the number of daemons that send to the same endpoints. */
   void SetDaemons(std::size_t aDaemons);
 
+  /** Adds the names of daemons that may send to the same endpoints, and whether
+      all are known. Until then cold endpoints with a limit get no requests. */
+  void AddHosts(const std::vector<std::string>& aHosts, bool aComplete);
+
+  /** Returns the number of cold endpoints that may get requests. */
+  [[nodiscard]] std::size_t ColdEndpoints(TimePoint aNow) const;
+
+  /** Returns the number of ranges of all services whose route leads to an
+      endpoint of a zone. */
+  [[nodiscard]] std::size_t RangesInZone(const std::string& aZone) const;
+
   /** Sets the limits for retries. */
   void SetBudget(BudgetConfig aBudget);
 
@@ -190,6 +209,7 @@
       , m_hash(
           static_cast<std::uint32_t>(StableHash(aRecord.m_incarnation.m_name)))
       , m_load(aRecord.m_slots)
+      , m_coldStart(aRecord.m_incarnation.m_name)
     {
     }
 
@@ -198,6 +218,10 @@
     EndpointLoad m_load;
     bool m_usable = true;
     TimePoint m_warmAt{};
+    ColdStart m_coldStart;
+    /** End of the time for which requests go to the endpoint for keys that it
+        holds, although it is not usable, since its zone is evacuated. */
+    TimePoint m_servesKeysUntil{};
     std::vector<std::shared_ptr<UpstreamConnection>> m_idle;
   };
 
@@ -245,6 +269,20 @@
                                     const Transaction& aTransaction,
                                     const Service& aService);
   void IndexEndpoints();
+  /** Updates an endpoint's cold time, and until when an evacuated endpoint
+      serves its keys. */
+  void UpdateColdStart(TimePoint aNow,
+                       const EndpointDirectory& aDirectory,
+                       const KnownEndpoint& aKnown,
+                       Endpoint& aEndpoint) const;
+  [[nodiscard]] ColdLimit ColdLimitOf(const Endpoint& aEndpoint) const;
+  /** Returns whether the limit of a cold endpoint admits a request now. */
+  [[nodiscard]] bool AdmitsCold(TimePoint aNow,
+                                const Transaction& aTransaction,
+                                const Endpoint& aEndpoint) const;
+  /** Counts a request that has to wait only because the endpoint that holds its
+      key is cold. */
+  void CountHeldBack(TimePoint aNow, const Transaction& aTransaction);
   /** Returns the expected queueing time of a request that finds no endpoint
       with capacity. */
   [[nodiscard]] std::chrono::nanoseconds ExpectedWait(
@@ -315,6 +353,7 @@
   /** Hash of the last endpoint that FleetUses reported in hash order. */
   std::uint32_t m_lastReportedHash = 0;
   std::size_t m_daemons = 1;
+  KnownHosts m_hosts;
   HeldBytes m_heldBytes{ kMaxHeldBytes };
   bool m_stopping = false;
   /** Set while stopping. */
--- a/src/sapphirehook/gateway/request_sends.cpp
+++ b/src/sapphirehook/gateway/request_sends.cpp
@@ -118,6 +118,8 @@
   auto& transaction = *aTransaction;
   const auto connection = ConnectionFor(aNow, transaction, aEndpoint);
   transaction.m_slowdown = aEndpoint.m_load.OnSent(aNow);
+  aEndpoint.m_coldStart.OnSent(
+    aNow, ColdLimitOf(aEndpoint), m_hosts, transaction.m_key.has_value());
   if (++transaction.m_sends == 1) {
     m_metrics.m_waitTimes.Observe(aNow - transaction.m_arrivedAt);
   }
--- a/src/sapphirehook/gateway/request_use.cpp
+++ b/src/sapphirehook/gateway/request_use.cpp
@@ -143,8 +143,11 @@
   }
   const double availableShare =
     1.0 - endpoint.m_load.OverdueShare(BootClock::now());
-  return availableShare * static_cast<double>(endpoint.m_load.Slots()) /
-         std::max(time.count(), kMinServiceSeconds);
+  const double full = availableShare *
+                      static_cast<double>(endpoint.m_load.Slots()) /
+                      std::max(time.count(), kMinServiceSeconds);
+  return endpoint.m_coldStart.Capacity(
+    BootClock::now(), ColdLimitOf(endpoint).m_rate, full);
 }
 
 } // namespace sapphirehook
