--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -77,6 +77,16 @@
                m_engine.HeldAnswerBytes());
   AppendMetric(
     text, "sapphirehook_buffered_bytes", "gauge", m_engine.BufferedBytes());
+    text, "sapphirehook_cold_endpoints", "gauge", m_engine.ColdEndpoints(now));
+  AppendMetric(text,
+               "sapphirehook_evacuated_zones",
+               "gauge",
+               m_directory.Evacuations().size());
+  std::size_t left = 0;
+  for (const auto& [zone, since] : m_directory.Evacuations()) {
+    left += m_engine.RangesInZone(zone);
+  }
+  AppendMetric(text, "sapphirehook_evacuated_ranges", "gauge", left);
   constexpr std::string_view kAge = "sapphirehook_topic_age_seconds";
   AppendMetricType(text, kAge, "gauge");
   for (const auto& [topic, topicState] : m_topicStates) {
