Leave unresponsive endpoints, and answer all requests before a stop ends

Cause: at some services an endpoint that cannot queue a request never answers it. Idempotent requests waited there until their deadline, and a stopping daemon closed their callers' connections without an answer.

Change: RequestEngine watches attempts, abandons an idempotent request at an unresponsive endpoint if another endpoint and the retry budget allow it, and logs the inputs as endpoint-unresponsive. A stopping daemon answers 504 or 503 to all unanswered requests 250 ms before it exits.

--- a/src/sapphirehook/gateway/engine_metrics.cpp
+++ b/src/sapphirehook/gateway/engine_metrics.cpp
@@ -34,6 +34,10 @@
   counter("sapphirehook_unusable_route_total", aMetrics.m_unusableRoutes);
   counter("sapphirehook_repeats_total", aMetrics.m_retries);
   counter("sapphirehook_callers_gone_total", aMetrics.m_callersGone);
+  counter("sapphirehook_unresponsive_total", aMetrics.m_unresponsive);
+  counter("sapphirehook_unresponsive_kept_total", aMetrics.m_unresponsiveKept);
+  counter("sapphirehook_ended_by_stop_total", aMetrics.m_endedByStop);
+  counter("sapphirehook_link_full_total", aMetrics.m_linkFull);
   counter("sapphirehook_pipelined_total", aMetrics.m_pipelined);
 
   constexpr std::string_view kRequestTimes = "sapphirehook_request_seconds";
--- a/src/sapphirehook/gateway/engine_metrics.hpp
+++ b/src/sapphirehook/gateway/engine_metrics.hpp
@@ -22,6 +22,16 @@
   std::uint64_t m_unusableRoutes = 0;
   std::uint64_t m_retries = 0;
   std::uint64_t m_callersGone = 0;
+  /** Requests that were abandoned at an unresponsive endpoint and sent to
+      another one, and those that stayed for lack of budget or of another
+      endpoint. */
+  std::uint64_t m_unresponsive = 0;
+  std::uint64_t m_unresponsiveKept = 0;
+  /** Requests that a stopping daemon answered at the end of its grace
+      period. */
+  std::uint64_t m_endedByStop = 0;
+  /** Times at which a download had to wait since the link was in use. */
+  std::uint64_t m_linkFull = 0;
   /** Requests that were passed on while others in front of them on their
       connection were in progress. */
   std::uint64_t m_pipelined = 0;
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -120,7 +120,8 @@
              m_log,
              { m_settings.m_zone,
                m_settings.m_retryBudget,
-               static_cast<std::uint32_t>(StableHash(m_settings.m_host)) })
+               static_cast<std::uint32_t>(StableHash(m_settings.m_host)),
+               m_settings.m_linkMbps })
   , m_gossip(m_loop,
              { m_settings.m_host, NewIncarnation() },
              [this](const HostId& aFrom, const GossipMessage& aMessage) {
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -24,14 +24,15 @@
     for two seconds. */
 constexpr Millis kMinRetryAfter{ 120 };
 constexpr Millis kMaxRetryAfter{ 1000 };
+constexpr const char* kStopReason = "stopping before the endpoint answered";
 
 std::string_view
 EndName(AttemptEnd aEnd)
 {
-  constexpr std::array<std::string_view, 7> kNames{ "answered", "failed",
-                                                    "not-run",  "misdirected",
-                                                    "not-sent", "lost",
-                                                    "abandoned" };
+  constexpr std::array<std::string_view, 8> kNames{
+    "answered", "failed", "not-run",   "misdirected",
+    "not-sent", "lost",   "abandoned", "unresponsive"
+  };
   return kNames.at(static_cast<std::size_t>(aEnd));
 }
 
@@ -43,6 +44,13 @@
                           AttemptEnd aEnd)
 {
   ReturnConnection(aTransaction);
+  const auto& route = *aTransaction->m_route;
+  if (std::exchange(aTransaction->m_isDownloading, false)) {
+    m_downloads.OnEnd();
+    if (aEnd == AttemptEnd::Answered) {
+      m_downloads.OnAnswer(route.m_name, aTransaction->m_answerBytes);
+    }
+  }
   const auto found = m_endpoints.find(aTransaction->m_sentTo);
   if (found == m_endpoints.end()) {
     return;
@@ -52,12 +60,15 @@
   if (aEnd == AttemptEnd::Answered) {
     m_metrics.m_attemptTimes.Observe(took);
     constexpr int kMeanSamples = 50; // answers
-    auto& meanServiceTime =
-      ServiceOf(aTransaction->m_service).m_meanServiceTime;
+    auto& known = ServiceOf(aTransaction->m_service);
+    const double work = aTransaction->m_work;
     const std::chrono::nanoseconds service(
       static_cast<std::chrono::nanoseconds::rep>(
-        static_cast<double>(took.count()) / aTransaction->m_slowdown));
-    meanServiceTime += (service - meanServiceTime) / kMeanSamples;
+        static_cast<double>(took.count()) * work /
+        (aTransaction->m_slowdown - 1.0 + work)));
+    known.m_meanServiceTime +=
+      (service - known.m_meanServiceTime) / kMeanSamples;
+    known.m_work.OnAnswer(KindOf(route), service);
   }
 }
 
@@ -83,7 +94,12 @@
   if (end == AttemptEnd::Misdirected || end == AttemptEnd::NotRun) {
     aTransaction->m_refusedOn.push_back(aTransaction->m_upstream);
   }
-  EndAttempt(BootClock::now(), aTransaction, end);
+  const TimePoint now = BootClock::now();
+  if (end != AttemptEnd::Misdirected) {
+    TakeReportedLoad(now, *aTransaction, aHead);
+  }
+  aTransaction->m_answerBytes += aBody.size();
+  EndAttempt(now, aTransaction, end);
   TakeNextStep(aTransaction, end, &aHead, aBody);
   ProcessQueues();
 }
@@ -147,7 +163,7 @@
                      std::min(transaction.m_misdirected, 2U);
   state.m_hasBody = transaction.m_bodyKept;
   state.m_mayHaveRun = transaction.m_mayHaveRun;
-  state.m_timeLeft = transaction.m_deadline - now;
+  state.m_timeLeft = AnswerDeadline(transaction) - now;
   const auto step = AfterAttempt(state, aEnd);
   m_log.Write(LogLine("attempt-ended")
                 .Add("id", transaction.m_attemptId)
@@ -183,14 +199,15 @@
       kMaxWaitShare * static_cast<double>(
                         std::chrono::nanoseconds(route.m_objective).count())));
   return std::min(aTransaction.m_waitStartedAt + maxWait,
-                  aTransaction.m_deadline);
+                  AnswerDeadline(aTransaction));
 }
 
 void
 RequestEngine::ArmTimer(const TransactionPtr& aTransaction)
 {
   const TimePoint now = BootClock::now();
-  TimePoint until = aTransaction->m_deadline;
+  TimePoint until =
+    std::min(AnswerDeadline(*aTransaction), aTransaction->m_checkAt);
   if (aTransaction->m_waiting) {
     until = WaitDeadline(*aTransaction);
     if (now < aTransaction->m_notBefore) {
@@ -226,7 +243,9 @@
     SendOrEnqueue(aTransaction);
     return;
   }
-  if (now + kTimerTolerance >= transaction.m_deadline) {
+  if (now + kTimerTolerance >= AnswerDeadline(transaction)) {
+    const bool isStopped = now + kTimerTolerance < transaction.m_deadline;
+    m_metrics.m_endedByStop += isStopped ? 1 : 0;
     const bool reachedNone = transaction.m_upstream &&
                              !transaction.m_upstream->IsRequestSent() &&
                              !transaction.m_mayHaveRun;
@@ -243,12 +262,16 @@
     } else if (reachedNone) {
       Refuse(aTransaction, "no connection in time", Millis(0));
     } else {
-      Fail(aTransaction, kGatewayTimeout, "time ran out at the endpoint");
+      Fail(aTransaction,
+           kGatewayTimeout,
+           isStopped ? kStopReason : "time ran out at the endpoint");
     }
     ProcessQueues();
     return;
   }
-  ArmTimer(aTransaction);
+  if (!LeaveIfUnresponsive(now + kTimerTolerance, aTransaction)) {
+    ArmTimer(aTransaction);
+  }
 }
 
 void
@@ -273,6 +296,7 @@
 {
   auto& transaction = *aTransaction;
   Dequeue(aTransaction);
+  m_open.erase(aTransaction);
   transaction.m_done = true;
   transaction.m_sink = nullptr;
   transaction.m_body = {};
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -24,6 +24,10 @@
 /** Latency that the choice of an endpoint adds for an upload to another zone.
     It is higher because the bytes of large bodies between zones cost more. */
 constexpr Millis kUploadZoneCost{ 150 };
+/** Time before the end of a stopping process at which it answers all unanswered
+    requests, so that the answers reach the callers before the connections
+    close. */
+constexpr Millis kFinalAnswerTime{ 250 };
 
 } // namespace
 
@@ -36,6 +40,7 @@
   , m_log(aLog)
   , m_settings(std::move(aSettings))
   , m_chooser(m_settings.m_seed)
+  , m_downloads(m_settings.m_linkMbps)
 {
 }
 
@@ -83,6 +88,7 @@
     (isLocal ? service.m_localZone : service.m_otherZones)
       .push_back(endpoint.get());
   }
+  ChooseSubsets();
 }
 
 RequestEngine::Service&
@@ -107,8 +113,12 @@
 void
 RequestEngine::SetDaemons(std::size_t aDaemons)
 {
-  m_daemons = std::max<std::size_t>(aDaemons, 1);
+  const auto before =
+    std::exchange(m_daemons, std::max<std::size_t>(aDaemons, 1));
   m_chooser.SetDaemons(m_daemons);
+  if (m_daemons != before) {
+    ChooseSubsets();
+  }
   for (auto& [name, service] : m_services) {
     service.m_budget.SetDaemons(m_daemons);
   }
@@ -147,6 +157,10 @@
   m_stopping = true;
   m_lastArrival = aLastArrival;
   m_stopEnd = aEnd;
+  m_finalAnswerAt = aEnd - kFinalAnswerTime;
+  for (const auto& transaction : m_open) {
+    ArmTimer(transaction);
+  }
   for (const auto& [raw, connection] : m_callers) {
     connection->BeginStop();
   }
@@ -300,6 +314,7 @@
         OnTimer(locked);
       }
     });
+  m_open.insert(aTransaction);
   return true;
 }
 
@@ -310,8 +325,9 @@
   if (aNow >= aTransaction.m_deadline) {
     return "deadline passed behind other requests";
   }
-  if (m_stopping && aNow > m_lastArrival &&
-      aTransaction.m_deadline > m_stopEnd) {
+  const bool isLate =
+    aNow > m_lastArrival && aTransaction.m_deadline > m_stopEnd;
+  if (m_stopping && (isLate || aNow >= m_finalAnswerAt)) {
     return "stopping";
   }
   return std::nullopt;
@@ -374,6 +390,10 @@
   if (aNow < aTransaction.m_notBefore) {
     return nullptr;
   }
+  if (!HasLinkCapacity(aTransaction)) {
+    ++m_metrics.m_linkFull;
+    return nullptr;
+  }
   return aTransaction.m_key
            ? ChooseHolder(aNow, aTransaction)
            : ChooseAny(aNow, aTransaction, ServiceOf(aTransaction.m_service));
@@ -414,6 +434,7 @@
   const auto zoneCost = aTransaction.m_route->m_kind == RequestKind::Upload
                           ? kUploadZoneCost
                           : kZoneCost;
+  const double work = aService.m_work.Relative(KindOf(*aTransaction.m_route));
   const auto cost =
     [&](const Endpoint& aEndpoint) -> std::optional<std::chrono::nanoseconds> {
     const auto& load = aEndpoint.m_load;
@@ -422,7 +443,7 @@
       return std::nullopt;
     }
     auto time = load.ExpectedFinish(
-      aNow, aService.m_meanServiceTime, m_chooser.OwnWeight());
+      aNow, aService.m_meanServiceTime, m_chooser.OwnWeight(), work);
     if (aEndpoint.m_record.m_zone != m_settings.m_zone) {
       time += zoneCost;
     }
@@ -435,8 +456,12 @@
     }
     return time;
   };
-  return m_chooser.Choose<Endpoint>(
-    aService.m_localZone, aService.m_otherZones, cost);
+  auto* endpoint = m_chooser.Choose<Endpoint>(
+    aService.m_localSubset, aService.m_otherSubset, cost);
+  return endpoint != nullptr ? endpoint
+                             : m_chooser.Choose<Endpoint>(aService.m_localZone,
+                                                          aService.m_otherZones,
+                                                          cost);
 }
 
 void
@@ -503,7 +528,8 @@
       if (!transaction->m_done) {
         ArmTimer(transaction);
       }
-    } else if (!transaction->m_key && now >= transaction->m_notBefore) {
+    } else if (!transaction->m_key && now >= transaction->m_notBefore &&
+               HasLinkCapacity(*transaction)) {
       break; // no endpoint has capacity for the rest of the queue either
     }
   }
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -8,7 +8,9 @@
 #include "sapphirehook/gateway/upstream_connection.hpp"
 #include "sapphirehook/keys/hot_key_counter.hpp"
 #include "sapphirehook/keys/range_map.hpp"
+#include "sapphirehook/placement/download_limit.hpp"
 #include "sapphirehook/placement/endpoint_choice.hpp"
+#include "sapphirehook/placement/kind_work.hpp"
 #include "sapphirehook/placement/retry_policy.hpp"
 #include "sapphirehook/placement/service_retry_budget.hpp"
 
@@ -16,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +33,8 @@
   /** Seed of the random choice of endpoints. Each daemon uses a different
       seed. */
   std::uint32_t m_seed = 1;
+  /** Bandwidth of the host's link, in megabits per second; 0 if unknown. */
+  double m_linkMbps = 0.0;
 };
 
 /** Load that this daemon puts on an endpoint. The daemon reports it to its
@@ -136,7 +141,9 @@
 
   /** Closes each caller connection after the requests that are in progress. A
       request that arrives after aLastArrival and whose deadline is after aEnd,
-      when the process ends, is refused: its answer might not come in time. */
+      when the process ends, is refused: its answer might not come in time. A
+      request that is still unanswered shortly before aEnd gets a final
+      answer. */
   void BeginStop(TimePoint aLastArrival, TimePoint aEnd);
 
   /** Closes the caller connections that have no request in progress. */
@@ -215,8 +222,12 @@
     /** Endpoints in this daemon's zone, and in other zones. */
     std::vector<Endpoint*> m_localZone;
     std::vector<Endpoint*> m_otherZones;
+    /** Those of them that this daemon uses while they have capacity. */
+    std::vector<Endpoint*> m_localSubset;
+    std::vector<Endpoint*> m_otherSubset;
     /** Moving average over the service's answers. */
     std::chrono::nanoseconds m_meanServiceTime = std::chrono::milliseconds(100);
+    KindWork m_work;
   };
 
   /** Number of keys that are counted exactly between two reports. */
@@ -245,6 +256,8 @@
                                     const Transaction& aTransaction,
                                     const Service& aService);
   void IndexEndpoints();
+  /** Chooses the subset of the usable endpoints of each service. */
+  void ChooseSubsets();
   /** Returns the expected queueing time of a request that finds no endpoint
       with capacity. */
   [[nodiscard]] std::chrono::nanoseconds ExpectedWait(
@@ -266,6 +279,26 @@
   void OnAnswer(const TransactionPtr& aTransaction,
                 const ResponseHead& aHead,
                 std::string_view aBody);
+  /** Takes the load that the endpoint of a running attempt states. */
+  void TakeReportedLoad(TimePoint aNow,
+                        const Transaction& aTransaction,
+                        const ResponseHead& aHead);
+  /** Returns when a request must have its final answer. */
+  [[nodiscard]] TimePoint AnswerDeadline(const Transaction& aTransaction) const;
+  /** Sets the expected times of an attempt, and when the engine first checks
+      whether the endpoint is unresponsive. */
+  void BeginWatch(TimePoint aNow,
+                  Transaction& aTransaction,
+                  Endpoint& aEndpoint);
+  /** Sends a request to another endpoint if its endpoint is unresponsive.
+      Returns whether it did. */
+  bool LeaveIfUnresponsive(TimePoint aNow, const TransactionPtr& aTransaction);
+  /** Returns the number of requests at an endpoint that are silent for longer
+      than their shortest limit. */
+  [[nodiscard]] std::size_t SilentRequests(TimePoint aNow,
+                                           const std::string& aEndpoint) const;
+  /** Returns whether the host's link can carry one more download. */
+  [[nodiscard]] bool HasLinkCapacity(const Transaction& aTransaction) const;
   void OnFault(const TransactionPtr& aTransaction, UpstreamFault aFault);
   void EndAttempt(TimePoint aNow,
                   const TransactionPtr& aTransaction,
@@ -312,6 +345,9 @@
   std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_callers;
   EngineMetrics m_metrics;
   EndpointChooser m_chooser;
+  DownloadLimit m_downloads;
+  /** Admitted requests without a final answer. */
+  std::set<TransactionPtr> m_open;
   /** Hash of the last endpoint that FleetUses reported in hash order. */
   std::uint32_t m_lastReportedHash = 0;
   std::size_t m_daemons = 1;
@@ -320,6 +356,8 @@
   /** Set while stopping. */
   TimePoint m_lastArrival{};
   TimePoint m_stopEnd{};
+  /** When a stopping daemon answers all unanswered requests. */
+  TimePoint m_finalAnswerAt = TimePoint::max();
   bool m_processingQueues = false;
 };
 
--- a/src/sapphirehook/gateway/request_sends.cpp
+++ b/src/sapphirehook/gateway/request_sends.cpp
@@ -117,10 +117,10 @@
 {
   auto& transaction = *aTransaction;
   const auto connection = ConnectionFor(aNow, transaction, aEndpoint);
-  transaction.m_slowdown = aEndpoint.m_load.OnSent(aNow);
   if (++transaction.m_sends == 1) {
     m_metrics.m_waitTimes.Observe(aNow - transaction.m_arrivedAt);
   }
+  BeginWatch(aNow, transaction, aEndpoint);
   transaction.m_triedEndpoints.insert(aEndpoint.m_record.m_incarnation.m_name);
   transaction.m_sentAt = aNow;
   transaction.m_sentTo = aEndpoint.m_record.m_incarnation.m_name;
@@ -130,13 +130,15 @@
                                            std::string_view aBody) {
     OnAnswer(aTransaction, aHead, aBody);
   };
-  events.m_onBegin = [aTransaction](const ResponseHead& aHead) {
+  events.m_onBegin = [this, aTransaction](const ResponseHead& aHead) {
     if (aTransaction->m_sink != nullptr) {
+      TakeReportedLoad(BootClock::now(), *aTransaction, aHead);
       aTransaction->m_answering = true;
       aTransaction->m_sink->BeginAnswer(aHead);
     }
   };
   events.m_onPiece = [aTransaction](std::string_view aPiece) {
+    aTransaction->m_answerBytes += aPiece.size();
     if (aTransaction->m_sink != nullptr) {
       aTransaction->m_sink->AnswerPiece(aPiece);
     }
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -89,6 +89,20 @@
   /** Expected slowdown of the attempt when it was sent: the multiple of the
       service time that it takes. */
   double m_slowdown = 1.0;
+  /** Work relative to the service's mean, as of the send. */
+  double m_work = 1.0;
+  /** Expected time in the endpoint's queue and in a slot, as of the send. */
+  std::chrono::nanoseconds m_expectedQueue{};
+  std::chrono::nanoseconds m_expectedService{};
+  /** When the engine next checks whether the endpoint is unresponsive. */
+  TimePoint m_checkAt = TimePoint::max();
+  /** The log has the reason why the attempt goes on at an unresponsive
+      endpoint. */
+  bool m_silenceLogged = false;
+  /** Bytes of the answer's body, and whether the request counts as a download
+      in progress. */
+  std::uint64_t m_answerBytes = 0;
+  bool m_isDownloading = false;
   std::string m_sentTo;
 
   std::shared_ptr<UpstreamConnection> m_upstream;
--- a/src/sapphirehook/gateway/upstream_connection.hpp
+++ b/src/sapphirehook/gateway/upstream_connection.hpp
@@ -80,6 +80,12 @@
   /** Returns whether any byte of the request has left this daemon. */
   [[nodiscard]] bool IsRequestSent() const noexcept { return m_requestSent; }
 
+  /** Returns whether the head of the answer has been received. */
+  [[nodiscard]] bool HasAnswerBegun() const noexcept
+  {
+    return m_parser.IsHeadComplete() && !m_ignoreResponse;
+  }
+
   /** Called when an idle connection ends. */
   std::function<void()> m_onIdleEnd;
 
