--- a/src/sapphirehook/gateway/engine_metrics.hpp
+++ b/src/sapphirehook/gateway/engine_metrics.hpp
@@ -24,6 +24,16 @@
   /** Requests that waited only because the holder of their key was cold. */
   std::uint64_t m_coldHeldBack = 0;
   std::uint64_t m_callersGone = 0;
+  /** Requests that were abandoned at an unresponsive endpoint and sent to
+      another one, and those that stayed for lack of budget or of another
+      endpoint. */
+  std::uint64_t m_unresponsive = 0;
+  std::uint64_t m_unresponsiveKept = 0;
+  /** Requests that a stopping daemon answered at the end of its grace
+      period. */
+  std::uint64_t m_endedByStop = 0;
+  /** Times at which a download had to wait since the link was in use. */
+  std::uint64_t m_linkFull = 0;
   /** Requests that were passed on while others in front of them on their
       connection were in progress. */
   std::uint64_t m_pipelined = 0;
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -142,7 +142,8 @@
                m_settings.m_host,
                m_settings.m_warmUpOverrun,
                m_settings.m_warmUpSlack,
-               m_settings.m_evacuation })
+               m_settings.m_evacuation,
+               m_settings.m_linkMbps })
   , m_gossip(m_loop,
              { m_settings.m_host, NewIncarnation() },
              [this](const HostId& aFrom, const GossipMessage& aMessage) {
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -28,6 +28,10 @@
 /** Latency that the choice of an endpoint adds for an upload to another zone.
     It is higher because the bytes of large bodies between zones cost more. */
 constexpr Millis kUploadZoneCost{ 150 };
+/** Time before the end of a stopping process at which it answers all unanswered
+    requests, so that the answers reach the callers before the connections
+    close. */
+constexpr Millis kFinalAnswerTime{ 250 };
 
 } // namespace
 
@@ -40,6 +44,7 @@
   , m_log(aLog)
   , m_settings(std::move(aSettings))
   , m_chooser(m_settings.m_seed)
+  , m_downloads(m_settings.m_linkMbps)
   , m_hosts(m_settings.m_host)
   , m_budget(std::make_shared<MemoryBudget>(m_settings.m_bufferBytes))
 {
@@ -89,6 +94,7 @@
     (isLocal ? service.m_localZone : service.m_otherZones)
       .push_back(endpoint.get());
   }
+  ChooseSubsets();
 }
 
 RequestEngine::Service&
@@ -120,9 +126,13 @@
 void
 RequestEngine::SetDaemons(std::size_t aDaemons)
 {
-  m_daemons = std::max<std::size_t>(aDaemons, 1);
+  const auto before =
+    std::exchange(m_daemons, std::max<std::size_t>(aDaemons, 1));
   m_chooser.SetDaemons(m_daemons);
   m_hosts.RaiseCount(m_daemons);
+  if (m_daemons != before) {
+    ChooseSubsets();
+  }
   for (auto& [name, service] : m_services) {
     service.m_budget.SetDaemons(m_daemons);
   }
@@ -161,6 +171,10 @@
   m_stopping = true;
   m_lastArrival = aLastArrival;
   m_stopEnd = aEnd;
+  m_finalAnswerAt = aEnd - kFinalAnswerTime;
+  for (const auto& transaction : m_open) {
+    ArmTimer(transaction);
+  }
   for (const auto& [raw, connection] : m_callers) {
     connection->BeginStop();
   }
@@ -324,6 +338,7 @@
         OnTimer(locked);
       }
     });
+  m_open.insert(aTransaction);
   return true;
 }
 
@@ -340,8 +355,9 @@
   if (hasLargeBody && !m_budget->HasRoomForBody()) {
     return "not enough memory for the body";
   }
-  if (m_stopping && aNow > m_lastArrival &&
-      aTransaction.m_deadline > m_stopEnd) {
+  const bool isLate =
+    aNow > m_lastArrival && aTransaction.m_deadline > m_stopEnd;
+  if (m_stopping && (isLate || aNow >= m_finalAnswerAt)) {
     return "stopping";
   }
   return std::nullopt;
@@ -405,6 +421,10 @@
   if (aNow < aTransaction.m_notBefore) {
     return nullptr;
   }
+  if (!HasLinkCapacity(aTransaction)) {
+    ++m_metrics.m_linkFull;
+    return nullptr;
+  }
   return aTransaction.m_key
            ? ChooseHolder(aNow, aTransaction)
            : ChooseAny(aNow, aTransaction, ServiceOf(aTransaction.m_service));
@@ -446,6 +466,7 @@
   const auto zoneCost = aTransaction.m_route->m_kind == RequestKind::Upload
                           ? kUploadZoneCost
                           : kZoneCost;
+  const double work = aService.m_work.Relative(KindOf(*aTransaction.m_route));
   const auto cost =
     [&](const Endpoint& aEndpoint) -> std::optional<std::chrono::nanoseconds> {
     const auto& load = aEndpoint.m_load;
@@ -454,7 +475,7 @@
       return std::nullopt;
     }
     auto time = load.ExpectedFinish(
-      aNow, aService.m_meanServiceTime, m_chooser.OwnWeight());
+      aNow, aService.m_meanServiceTime, m_chooser.OwnWeight(), work);
     if (aEndpoint.m_record.m_zone != m_settings.m_zone) {
       time += zoneCost;
     }
@@ -467,8 +488,12 @@
     }
     return time;
   };
-  return m_chooser.Choose<Endpoint>(
-    aService.m_localZone, aService.m_otherZones, cost);
+  auto* endpoint = m_chooser.Choose<Endpoint>(
+    aService.m_localSubset, aService.m_otherSubset, cost);
+  return endpoint != nullptr ? endpoint
+                             : m_chooser.Choose<Endpoint>(aService.m_localZone,
+                                                          aService.m_otherZones,
+                                                          cost);
 }
 
 void
@@ -535,7 +560,8 @@
       if (!transaction->m_done) {
         ArmTimer(transaction);
       }
-    } else if (!transaction->m_key && now >= transaction->m_notBefore) {
+    } else if (!transaction->m_key && now >= transaction->m_notBefore &&
+               HasLinkCapacity(*transaction)) {
       break; // no endpoint has capacity for the rest of the queue either
     }
   }
