Use the admission module in the gateway, and exchange demand by kind

The queue, the estimate of waits and the decision to queue or refuse leave request_engine.cpp and request_attempts.cpp. Heartbeats carry arrivals, answer time and queue length by service and kind, in fields appended at the end; the leader of a large fleet sends the totals. Requests in excess of their kind's share are refused at once as "over the share"; for keyed services only if the key's holder has no capacity.

Services whose routes are all equally urgent report nothing and keep their limits of waits, except that a queued request leaves the time for its expected work before its objective ends, and is estimated again after an eighth of it. A request without capacity no longer blocks those of other kinds behind it.

Refusals log the share, demand and capacity; new metrics are the admitted share and the queue length by kind, and refusals by reason.

--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -55,8 +55,10 @@
   }
   if (m_fleet.IsLarge() && aHeartbeat.m_leads) {
     m_engine.OnFleetUse(aNow, aHeartbeat.m_totals);
+    m_engine.Admission().OnFleetUse(aNow, aHeartbeat.m_kindTotals);
   } else if (!m_fleet.IsLarge() || m_ownership.Leads()) {
     m_engine.OnPeerUse(aNow, aFrom.m_host, aHeartbeat.m_uses);
+    m_engine.Admission().OnPeerUse(aNow, aFrom.m_host, aHeartbeat.m_kindUses);
   }
 }
 
@@ -97,6 +99,7 @@
   GossipHeartbeat heartbeat;
   heartbeat.m_stopping = m_stopping;
   heartbeat.m_uses = m_engine.TakeUses(aNow);
+  heartbeat.m_kindUses = m_engine.Admission().Report(aNow, true);
   for (const auto& [topic, topicState] : m_topicStates) {
     heartbeat.m_ends[topic] = ReaderOf(topic).End();
     const auto& confirmation = topicState.m_ownConfirmation;
@@ -117,6 +120,8 @@
   if (m_fleet.IsLarge() && heartbeat.m_leads) {
     heartbeat.m_uses.clear();
     heartbeat.m_totals = m_engine.FleetUses(aNow);
+    heartbeat.m_kindUses.clear();
+    heartbeat.m_kindTotals = m_engine.Admission().FleetUses(aNow);
   }
   return heartbeat;
 }
@@ -133,6 +138,7 @@
       !heartbeat.m_relays) {
     m_gossip.SendTo(leader->m_host, heartbeat);
     heartbeat.m_uses.clear();
+    heartbeat.m_kindUses.clear();
     m_gossip.SendNext(heartbeat);
   } else if (newLeader ||
              (m_fleet.IsLarge() && !heartbeat.m_leads && heartbeat.m_relays)) {
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -82,6 +82,7 @@
       now - topicState.m_readSchedule.CompleteAt();
     text += Concat(kAge, "{topic=\"", topic, "\"} ", age.count(), "\n");
   }
+  m_engine.Admission().AppendSamples(text, KindName);
   AppendSamples(text, m_engine.Metrics());
   return text;
 }
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -14,16 +14,12 @@
 
 namespace {
 
-/** Share of the route's target latency after which a queued request is
-    refused. */
-constexpr double kMaxWaitShare = 0.5;
 /** Delay before the retry of a request whose key an endpoint refused. */
 constexpr Millis kMisdirectedRetryDelay{ 30 };
-/** Bounds of the Retry-After value of a refusal. Some slots become free within
-    one service time. A delay above one second is useless to callers that wait
-    for two seconds. */
-constexpr Millis kMinRetryAfter{ 120 };
-constexpr Millis kMaxRetryAfter{ 1000 };
+/** Remaining time that the Retry-After values of undivided services assume, so
+    that they are below one second: a longer delay is useless to callers that
+    wait for two seconds. */
+constexpr Millis kAssumedCallerTime{ 3000 };
 
 std::string_view
 EndName(AttemptEnd aEnd)
@@ -58,6 +54,8 @@
       static_cast<std::chrono::nanoseconds::rep>(
         static_cast<double>(took.count()) / aTransaction->m_slowdown));
     meanServiceTime += (service - meanServiceTime) / kMeanSamples;
+    m_admission.OnAnswer(
+      aTransaction->m_service, KindOf(*aTransaction->m_route), took);
   }
 }
 
@@ -174,25 +172,17 @@
   }
 }
 
-TimePoint
-RequestEngine::WaitDeadline(const Transaction& aTransaction)
-{
-  const auto& route = *aTransaction.m_route;
-  const auto maxWait =
-    std::chrono::nanoseconds(static_cast<std::chrono::nanoseconds::rep>(
-      kMaxWaitShare * static_cast<double>(
-                        std::chrono::nanoseconds(route.m_objective).count())));
-  return std::min(aTransaction.m_waitStartedAt + maxWait,
-                  aTransaction.m_deadline);
-}
-
 void
 RequestEngine::ArmTimer(const TransactionPtr& aTransaction)
 {
   const TimePoint now = BootClock::now();
   TimePoint until = aTransaction->m_deadline;
   if (aTransaction->m_waiting) {
-    until = WaitDeadline(*aTransaction);
+    const auto terms = TermsOf(*aTransaction);
+    until = LatestStart(terms);
+    if (now < ReviewTime(terms)) {
+      until = std::min(until, ReviewTime(terms));
+    }
     if (now < aTransaction->m_notBefore) {
       until = std::min(until, aTransaction->m_notBefore);
     }
@@ -212,16 +202,19 @@
   // The timer's clock may be slightly ahead of the boot clock.
   constexpr Millis kTimerTolerance{ 2 };
   if (transaction.m_waiting) {
-    if (now + kTimerTolerance >= WaitDeadline(transaction)) {
+    if (now + kTimerTolerance >= LatestStart(TermsOf(transaction))) {
       Dequeue(aTransaction);
       if (transaction.m_mayHaveRun) {
         Fail(aTransaction, kGatewayTimeout, "no room for another attempt");
       } else {
-        Refuse(aTransaction, "no room in time", ExpectedWait(now, transaction));
+        const auto wait = ExpectedWait(now, transaction);
+        Refuse(aTransaction, "no room in time", wait, wait);
       }
       return;
     }
-    transaction.m_notBefore = {};
+    if (now + kTimerTolerance >= transaction.m_notBefore) {
+      transaction.m_notBefore = {};
+    }
     Dequeue(aTransaction);
     SendOrEnqueue(aTransaction);
     return;
@@ -304,18 +297,27 @@
 void
 RequestEngine::Refuse(const TransactionPtr& aTransaction,
                       std::string_view aReason,
-                      std::chrono::nanoseconds aRetryAfter)
+                      std::chrono::nanoseconds aEarliest,
+                      std::chrono::nanoseconds aSpread)
 {
   auto* sink = aTransaction->m_sink;
   ++m_metrics.m_refused;
+  const auto kind = KindOf(*aTransaction->m_route);
+  m_admission.OnRefused(aTransaction->m_service, kind, aReason);
   RecordEnd(*aTransaction, aReason, kUnavailable, LogPriority::Event);
   Complete(aTransaction);
   if (sink != nullptr) {
-    const auto after = std::chrono::duration_cast<Millis>(aRetryAfter);
+    const bool isDivided = m_admission.IsDivided(aTransaction->m_service);
+    const std::chrono::nanoseconds callerLeft =
+      isDivided ? aTransaction->m_callerDeadline - BootClock::now()
+                : kAssumedCallerTime;
     AnswerDirectly(*sink,
                    kUnavailable,
                    aReason,
-                   std::clamp(after, kMinRetryAfter, kMaxRetryAfter));
+                   RetryAfter(aTransaction->m_attemptId,
+                              aEarliest,
+                              isDivided ? aSpread : Millis(0),
+                              callerLeft));
   }
 }
 
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -5,6 +5,7 @@
 #include "sapphirehook/gateway/internal/service_time.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace sapphirehook {
@@ -36,6 +37,7 @@
   , m_log(aLog)
   , m_settings(std::move(aSettings))
   , m_chooser(m_settings.m_seed)
+  , m_admission(m_settings.m_seed)
 {
 }
 
@@ -45,6 +47,14 @@
 RequestEngine::SetRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
   m_routes = std::move(aRoutes);
+  m_admission.SetRoutes(m_routes->Config());
+  std::set<std::string> names;
+  for (const auto& route : m_routes->Config().m_routes) {
+    names.insert(route.m_name);
+  }
+  std::erase_if(m_firstAttempts, [&](const auto& aEntry) {
+    return !names.contains(aEntry.first);
+  });
 }
 
 void
@@ -109,6 +119,7 @@
 {
   m_daemons = std::max<std::size_t>(aDaemons, 1);
   m_chooser.SetDaemons(m_daemons);
+  m_admission.SetDaemons(m_daemons);
   for (auto& [name, service] : m_services) {
     service.m_budget.SetDaemons(m_daemons);
   }
@@ -244,6 +255,9 @@
     Refuse(transaction, *reason, Millis(0));
     return nullptr;
   }
+  if (!ApplyShare(BootClock::now(), transaction)) {
+    return nullptr;
+  }
   SendOrEnqueue(transaction);
   return transaction->m_done ? nullptr : transaction;
 }
@@ -271,6 +285,11 @@
     if (const auto millis = ParseWholeNumber(*text)) {
       transaction.m_callerDeadline =
         aArrival.m_at + Millis(static_cast<Millis::rep>(*millis));
+      constexpr int kMaxTimeouts = 4; // callers wait for a few attempts
+      transaction.m_objectiveAt -= m_firstAttempts[route.m_name].OnRequest(
+        now,
+        transaction.m_callerDeadline - aArrival.m_at,
+        kMaxTimeouts * route.m_timeout);
       transaction.m_deadline =
         std::min(transaction.m_deadline, transaction.m_callerDeadline);
     }
@@ -317,57 +336,6 @@
   return std::nullopt;
 }
 
-void
-RequestEngine::SendOrEnqueue(const TransactionPtr& aTransaction)
-{
-  const TimePoint now = BootClock::now();
-  auto* endpoint = Choose(now, *aTransaction);
-  if (endpoint != nullptr) {
-    SendTo(now, aTransaction, *endpoint);
-  } else {
-    const auto wait = ExpectedWait(now, *aTransaction);
-    const auto maxWait = WaitDeadline(*aTransaction) - now;
-    if (wait > maxWait && !aTransaction->m_mayHaveRun) {
-      Refuse(aTransaction, "too many wait", wait - maxWait);
-      return;
-    }
-    Enqueue(aTransaction);
-  }
-  if (!aTransaction->m_done) {
-    ArmTimer(aTransaction);
-  }
-}
-
-std::chrono::nanoseconds
-RequestEngine::ExpectedWait(TimePoint aNow, const Transaction& aTransaction)
-{
-  auto& service = ServiceOf(aTransaction.m_service);
-  if (aTransaction.m_key) {
-    const auto* holder = HolderOf(aTransaction);
-    return holder != nullptr
-             ? holder->m_load.ExpectedWait(aNow, service.m_meanServiceTime)
-             : std::chrono::nanoseconds(0);
-  }
-  // The estimate assumes that each daemon has as many queued requests as this
-  // one, and that all endpoints are busy.
-  std::chrono::duration<double> meanServiceTime = service.m_meanServiceTime;
-  double perSecond = 0.0;
-  for (const auto* endpoints :
-       { &service.m_localZone, &service.m_otherZones }) {
-    for (const auto* endpoint : *endpoints) {
-      perSecond +=
-        endpoint->m_usable ? static_cast<double>(endpoint->m_load.Slots()) : 0;
-    }
-  }
-  perSecond /= std::max(meanServiceTime.count(), kMinServiceSeconds);
-  const auto waiting =
-    static_cast<double>(service.m_waiting.size() * m_daemons);
-  return perSecond <= 0.0
-           ? std::chrono::nanoseconds(0)
-           : std::chrono::duration_cast<std::chrono::nanoseconds>(
-               std::chrono::duration<double>(waiting / perSecond));
-}
-
 RequestEngine::Endpoint*
 RequestEngine::Choose(TimePoint aNow, const Transaction& aTransaction)
 {
@@ -386,10 +354,20 @@
   if (holder == nullptr) {
     return nullptr;
   }
-  const bool isAvailable = holder->m_usable &&
-                           holder->m_load.HasCapacity(aNow) &&
-                           !holder->m_load.IsEjected(aNow);
-  return isAvailable ? holder : nullptr;
+  return HasCapacity(aNow, *holder, aTransaction) ? holder : nullptr;
+}
+
+bool
+RequestEngine::HasCapacity(TimePoint aNow,
+                           const Endpoint& aEndpoint,
+                           const Transaction& aTransaction) const
+{
+  const auto& load = aEndpoint.m_load;
+  return aEndpoint.m_usable && !load.IsEjected(aNow) &&
+         load.HasCapacity(
+           aNow,
+           m_admission.ReserveFor(aTransaction.m_service,
+                                  KindOf(*aTransaction.m_route)));
 }
 
 /** Returns the endpoint that holds a request's key, or null while the key moves
@@ -417,8 +395,7 @@
   const auto cost =
     [&](const Endpoint& aEndpoint) -> std::optional<std::chrono::nanoseconds> {
     const auto& load = aEndpoint.m_load;
-    if (!aEndpoint.m_usable || !load.HasCapacity(aNow) ||
-        load.IsEjected(aNow)) {
+    if (!HasCapacity(aNow, aEndpoint, aTransaction)) {
       return std::nullopt;
     }
     auto time = load.ExpectedFinish(
@@ -439,74 +416,4 @@
     aService.m_localZone, aService.m_otherZones, cost);
 }
 
-void
-RequestEngine::Enqueue(const TransactionPtr& aTransaction)
-{
-  auto& waiting = ServiceOf(aTransaction->m_service).m_waiting;
-  const auto isBefore = [](const auto& aLeft, const auto& aRight) {
-    return std::pair(aLeft->m_route->m_priority, aLeft->m_objectiveAt) <
-           std::pair(aRight->m_route->m_priority, aRight->m_objectiveAt);
-  };
-  const auto at =
-    std::upper_bound(waiting.begin(), waiting.end(), aTransaction, isBefore);
-  waiting.insert(at, aTransaction);
-  aTransaction->m_waiting = true;
-  if (aTransaction->m_key) {
-    if (auto* holder = HolderOf(*aTransaction)) {
-      holder->m_load.OnWaitBegins();
-      aTransaction->m_awaitedEndpoint = holder->m_record.m_incarnation.m_name;
-    }
-  }
-}
-
-void
-RequestEngine::Dequeue(const TransactionPtr& aTransaction)
-{
-  if (aTransaction->m_waiting) {
-    aTransaction->m_waiting = false;
-    ServiceOf(aTransaction->m_service).m_waiting.remove(aTransaction);
-    const auto awaitedEndpoint =
-      std::exchange(aTransaction->m_awaitedEndpoint, {});
-    const auto holder = m_endpoints.find(awaitedEndpoint);
-    if (holder != m_endpoints.end()) {
-      holder->second->m_load.OnWaitEnds();
-    }
-  }
-}
-
-void
-RequestEngine::ProcessQueues()
-{
-  if (m_processingQueues) {
-    return;
-  }
-  m_processingQueues = true;
-  for (auto& [name, service] : m_services) {
-    ProcessQueue(service);
-  }
-  m_processingQueues = false;
-}
-
-void
-RequestEngine::ProcessQueue(Service& aService)
-{
-  const TimePoint now = BootClock::now();
-  const auto waiting = aService.m_waiting;
-  for (const auto& transaction : waiting) {
-    if (!transaction->m_waiting) {
-      continue;
-    }
-    auto* endpoint = Choose(now, *transaction);
-    if (endpoint != nullptr) {
-      Dequeue(transaction);
-      SendTo(now, transaction, *endpoint);
-      if (!transaction->m_done) {
-        ArmTimer(transaction);
-      }
-    } else if (!transaction->m_key && now >= transaction->m_notBefore) {
-      break; // no endpoint has capacity for the rest of the queue either
-    }
-  }
-}
-
 } // namespace sapphirehook
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -1,6 +1,9 @@
 #ifndef SAPPHIREHOOK_GATEWAY_REQUEST_ENGINE_HPP
 #define SAPPHIREHOOK_GATEWAY_REQUEST_ENGINE_HPP
 
+#include "sapphirehook/admission/admission_control.hpp"
+#include "sapphirehook/admission/service_queue.hpp"
+#include "sapphirehook/admission/wait_policy.hpp"
 #include "sapphirehook/core/event_log.hpp"
 #include "sapphirehook/core/hash.hpp"
 #include "sapphirehook/gateway/caller_connection.hpp"
@@ -12,7 +15,6 @@
 #include "sapphirehook/placement/retry_policy.hpp"
 #include "sapphirehook/placement/service_retry_budget.hpp"
 
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -152,6 +154,14 @@
     return m_heldBytes.Total();
   }
 
+  /** Returns the division of the services' capacity, which also exchanges
+      demand with the other daemons. */
+  [[nodiscard]] AdmissionControl& Admission() noexcept { return m_admission; }
+  [[nodiscard]] const AdmissionControl& Admission() const noexcept
+  {
+    return m_admission;
+  }
+
   [[nodiscard]] const EngineMetrics& Metrics() const noexcept
   {
     return m_metrics;
@@ -211,7 +221,7 @@
     RangeMap m_ranges;
     ServiceRetryBudget m_budget;
     HotKeyCounter m_keyCounter{ kKeyCounters };
-    std::list<TransactionPtr> m_waiting;
+    ServiceQueue<TransactionPtr> m_queue;
     /** Endpoints in this daemon's zone, and in other zones. */
     std::vector<Endpoint*> m_localZone;
     std::vector<Endpoint*> m_otherZones;
@@ -233,6 +243,14 @@
   [[nodiscard]] std::optional<std::string_view> ReasonToRefuse(
     TimePoint aNow,
     const Transaction& aTransaction) const;
+  /** Counts a request as demand and applies the admitted share of its kind.
+      Returns false if the request is refused. */
+  bool ApplyShare(TimePoint aNow, const TransactionPtr& aTransaction);
+  /** Returns the slots of a service's usable endpoints, less those that overdue
+      requests occupy. */
+  [[nodiscard]] static AdmissionControl::Capacity CapacityOf(
+    TimePoint aNow,
+    const Service& aService);
   /** Sends a request, queues it if no endpoint has capacity, or refuses it if
       the expected wait is too long. */
   void SendOrEnqueue(const TransactionPtr& aTransaction);
@@ -251,6 +269,12 @@
     TimePoint aNow,
     const Transaction& aTransaction);
   [[nodiscard]] Endpoint* HolderOf(const Transaction& aTransaction);
+  /** Returns whether an endpoint can accept the request now. */
+  [[nodiscard]] bool HasCapacity(TimePoint aNow,
+                                 const Endpoint& aEndpoint,
+                                 const Transaction& aTransaction) const;
+  [[nodiscard]] static QueueEntry EntryOf(const Transaction& aTransaction);
+  [[nodiscard]] WaitTerms TermsOf(const Transaction& aTransaction);
   void Enqueue(const TransactionPtr& aTransaction);
   void Dequeue(const TransactionPtr& aTransaction);
   std::shared_ptr<UpstreamConnection> ConnectionFor(
@@ -277,11 +301,13 @@
                     std::string_view aBody);
   void OnTimer(const TransactionPtr& aTransaction);
   void ArmTimer(const TransactionPtr& aTransaction);
-  /** Returns when a queued request is refused. */
-  [[nodiscard]] TimePoint WaitDeadline(const Transaction& aTransaction);
+  /** Refuses a request. aEarliest is the time until capacity becomes free, and
+      aSpread the time over which the callers of a divided service come
+      back. */
   void Refuse(const TransactionPtr& aTransaction,
               std::string_view aReason,
-              std::chrono::nanoseconds aRetryAfter);
+              std::chrono::nanoseconds aEarliest,
+              std::chrono::nanoseconds aSpread = {});
   void Fail(const TransactionPtr& aTransaction,
             int aStatus,
             std::string_view aReason);
@@ -312,6 +338,10 @@
   std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_callers;
   EngineMetrics m_metrics;
   EndpointChooser m_chooser;
+  AdmissionControl m_admission;
+  /** Estimates of the callers' first attempts, by route. */
+  std::map<std::string, FirstAttemptTimes> m_firstAttempts;
+  std::uint64_t m_lastQueueId = 0;
   /** Hash of the last endpoint that FleetUses reported in hash order. */
   std::uint32_t m_lastReportedHash = 0;
   std::size_t m_daemons = 1;
--- a/src/sapphirehook/gateway/request_log.cpp
+++ b/src/sapphirehook/gateway/request_log.cpp
@@ -2,6 +2,8 @@
 
 #include "sapphirehook/gateway/internal/answers.hpp"
 
+#include <cmath>
+
 // Log lines about the ends of requests.
 
 namespace sapphirehook {
@@ -44,7 +46,15 @@
 {
   const TimePoint now = BootClock::now();
   auto& service = ServiceOf(aTransaction.m_service);
-  aLine.Add("waiting", service.m_waiting.size());
+  aLine.Add("waiting", service.m_queue.Size());
+  if (m_admission.IsDivided(aTransaction.m_service)) {
+    const auto figures = m_admission.FiguresOf(aTransaction.m_service,
+                                               KindOf(*aTransaction.m_route));
+    constexpr double kPercent = 100.0;
+    aLine.Add("share_percent", std::lround(figures.m_share * kPercent))
+      .Add("demand_slots", std::lround(figures.m_demand))
+      .Add("capacity_slots", std::lround(figures.m_slots));
+  }
   if (aTransaction.m_key) {
     const auto* route = service.m_ranges.Find(*aTransaction.m_key);
     const auto holder = route != nullptr ? m_endpoints.find(route->m_endpoint)
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -63,7 +63,8 @@
   /** Number of requests in front of it on its connection that were in progress
       when it was admitted. */
   std::size_t m_inFront = 0;
-  /** End of the route's target latency. */
+  /** End of the route's target latency, counted from the estimated time of the
+      caller's first attempt. */
   TimePoint m_objectiveAt{};
   /** Latest time of the final answer to the caller. */
   TimePoint m_deadline{};
@@ -77,8 +78,11 @@
   bool m_answering = false;
   bool m_done = false;
   bool m_waiting = false;
-  /** The one endpoint that the queued request waits for, if any. */
-  std::string m_awaitedEndpoint;
+  /** Number of the request in its service's queue. */
+  std::uint64_t m_queueId = 0;
+  /** Whether the share of its kind does not include the request: it is served
+      only by an endpoint with capacity. */
+  bool m_overShare = false;
   /** Number of sends that the endpoint refused because it does not hold the
       key. */
   unsigned m_misdirected = 0;
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREHOOK_GOSSIP_MESSAGE_HPP
 #define SAPPHIREHOOK_GOSSIP_MESSAGE_HPP
 
+#include "sapphirehook/admission/fleet_demand.hpp"
 #include "sapphirehook/core/message_pack.hpp"
 #include "sapphirehook/gateway/request_engine.hpp"
 #include "sapphirehook/gossip/topic_batch.hpp"
@@ -59,6 +60,11 @@
   std::vector<FleetUse> m_totals;
   /** For each followed topic, its end as the store reported it. */
   std::map<std::string, ReportedEnd> m_reportedEnds;
+  /** Demand by service and kind at the sender. */
+  std::vector<KindUse> m_kindUses;
+  /** Demand by service and kind at all daemons of a large fleet. Set by the
+      leader. */
+  std::vector<KindUse> m_kindTotals;
 
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
@@ -75,7 +81,9 @@
                        m_daemons,
                        m_successors,
                        m_totals,
-                       m_reportedEnds)
+                       m_reportedEnds,
+                       m_kindUses,
+                       m_kindTotals)
 };
 
 /** Request counts by key, sent to the leader. */
--- a/src/sapphirehook/placement/endpoint_load.hpp
+++ b/src/sapphirehook/placement/endpoint_load.hpp
@@ -2,6 +2,7 @@
 #define SAPPHIREHOOK_PLACEMENT_ENDPOINT_LOAD_HPP
 
 #include "sapphirehook/core/time.hpp"
+#include "sapphirehook/placement/slot_reserve.hpp"
 
 #include <cstddef>
 #include <map>
@@ -99,6 +100,14 @@
     return Running(aNow) < Limit(aNow);
   }
 
+  /** Returns whether the endpoint has capacity for a request of a kind that may
+      be limited to a part of the slots. */
+  [[nodiscard]] bool HasCapacity(TimePoint aNow,
+                                 const SlotReserve& aReserve) const
+  {
+    return HasCapacity(aNow) && aReserve.Allows(Running(aNow), m_slots);
+  }
+
   /** Takes a peer's report of the number of its answers and their mean service
       time. */
   void OnPeerAnswers(std::size_t aAnswers,
