--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -77,6 +77,7 @@
                m_engine.HeldAnswerBytes());
   AppendMetric(
     text, "sapphirehook_buffered_bytes", "gauge", m_engine.BufferedBytes());
+  AppendMetric(
     text, "sapphirehook_cold_endpoints", "gauge", m_engine.ColdEndpoints(now));
   AppendMetric(text,
                "sapphirehook_evacuated_zones",
@@ -94,6 +95,7 @@
       now - topicState.m_readSchedule.CompleteAt();
     text += Concat(kAge, "{topic=\"", topic, "\"} ", age.count(), "\n");
   }
+  m_engine.Admission().AppendSamples(text, KindName);
   AppendSamples(text, m_engine.Metrics());
   return text;
 }
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -1,6 +1,7 @@
 #ifndef SAPPHIREHOOK_GOSSIP_MESSAGE_HPP
 #define SAPPHIREHOOK_GOSSIP_MESSAGE_HPP
 
+#include "sapphirehook/admission/fleet_demand.hpp"
 #include "sapphirehook/core/message_pack.hpp"
 #include "sapphirehook/gateway/request_engine.hpp"
 #include "sapphirehook/gossip/topic_batch.hpp"
@@ -62,6 +63,11 @@
   std::map<std::string, ReportedEnd> m_reportedEnds;
   /** Limits of the hot keys of each keyed service. Set by the leader. */
   std::map<std::string, std::vector<KeyLimit>> m_keyLimits;
+  /** Demand by service and kind at the sender. */
+  std::vector<KindUse> m_kindUses;
+  /** Demand by service and kind at all daemons of a large fleet. Set by the
+      leader. */
+  std::vector<KindUse> m_kindTotals;
 
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
@@ -79,7 +85,9 @@
                        m_successors,
                        m_totals,
                        m_reportedEnds,
-                       m_keyLimits)
+                       m_keyLimits,
+                       m_kindUses,
+                       m_kindTotals)
 };
 
 /** Request counts by key, sent to the leader. */
--- a/src/sapphirehook/placement/kind_work.cpp
+++ b/src/sapphirehook/placement/kind_work.cpp
@@ -26,7 +26,7 @@
 }
 
 void
-KindWork::OnAnswer(const WorkKind& aKind, std::chrono::nanoseconds aService)
+KindWork::OnAnswer(const KindKey& aKind, std::chrono::nanoseconds aService)
 {
   const double seconds = std::chrono::duration<double>(aService).count();
   m_kinds[aKind].Add(seconds);
@@ -34,7 +34,7 @@
 }
 
 double
-KindWork::Relative(const WorkKind& aKind) const
+KindWork::Relative(const KindKey& aKind) const
 {
   const auto found = m_kinds.find(aKind);
   if (found == m_kinds.end() || found->second.m_samples < kEnoughAnswers ||
--- a/src/sapphirehook/routing/fwd.hpp
+++ b/src/sapphirehook/routing/fwd.hpp
@@ -10,6 +10,8 @@
 struct ServiceSpec;
 struct CallerLimits;
 struct ConfigIssue;
+struct Urgency;
+struct KindKey;
 struct RoutingConfig;
 class RouteTable;
 class WeightedRoundRobin;
--- a/test/sapphirehook/placement/capacity.cpp
+++ b/test/sapphirehook/placement/capacity.cpp
@@ -14,8 +14,8 @@
   return TimePoint(Millis(aMillis));
 }
 
-constexpr WorkKind kLookup{ RequestKind::Idempotent, 0, Millis(400) };
-constexpr WorkKind kReport{ RequestKind::Idempotent, 2, Millis(2000) };
+constexpr KindKey kLookup{ { 0, Millis(400) }, RequestKind::Idempotent };
+constexpr KindKey kReport{ { 2, Millis(2000) }, RequestKind::Idempotent };
 
 } // namespace
 
@@ -73,7 +73,7 @@
   EndpointLoad lookups(6);
   EndpointLoad reports(6);
   int now = 1000;
-  const auto run = [&](EndpointLoad& aLoad, const WorkKind& aKind, int aMs) {
+  const auto run = [&](EndpointLoad& aLoad, const KindKey& aKind, int aMs) {
     const double slowdown = aLoad.OnSent(At(now), work.Relative(aKind));
     aLoad.OnEnd(At(now + aMs), AttemptEnd::Answered, Millis(aMs), slowdown);
     work.OnAnswer(aKind, Millis(aMs));
@@ -89,7 +89,7 @@
                      static_cast<double>(lookups.ServiceTime().count());
   CHECK(ratio == Approx(1.0).epsilon(0.05));
   // Reports are expected to take three times as long as lookups.
-  const auto expected = [&](const WorkKind& aKind) {
+  const auto expected = [&](const KindKey& aKind) {
     return lookups.ExpectedFinish(
       At(now), Millis(100), 1.0, work.Relative(aKind));
   };
