Test that downloads beyond the link's capacity wait

The limit of downloads by the host's link was tested only by itself. The test covers the request path: the excess waits, other requests pass, and requests that end make room. The subset of endpoints reserves its memory, as clang-tidy asks for.

--- a/src/sapphirehook/placement/endpoint_subset.hpp
+++ b/src/sapphirehook/placement/endpoint_subset.hpp
@@ -29,12 +29,14 @@
             const HashOf& aHashOf)
 {
   std::vector<std::pair<std::uint64_t, Endpoint*>> ranks;
+  ranks.reserve(aEndpoints.size());
   for (auto* endpoint : aEndpoints) {
     ranks.emplace_back(MixHashes(aDaemon, aHashOf(*endpoint)), endpoint);
   }
   std::sort(ranks.begin(), ranks.end());
   ranks.resize(std::min(aSize, ranks.size()));
   std::vector<Endpoint*> first;
+  first.reserve(ranks.size());
   for (const auto& [rank, endpoint] : ranks) {
     first.push_back(endpoint);
   }
--- a/test/sapphirehook/gateway/engine_fixture.hpp
+++ b/test/sapphirehook/gateway/engine_fixture.hpp
@@ -154,10 +154,10 @@
 class Fixture
 {
 public:
-  Fixture()
+  explicit Fixture(double aLinkMbps = 0.0)
     : m_protocol(platform::Protocol())
     , m_log("test")
-    , m_engine(m_loop, m_protocol, m_log, { "z", BudgetConfig{} })
+    , m_engine(m_loop, m_protocol, m_log, { "z", BudgetConfig{}, 1, aLinkMbps })
     , m_address(support::FreeAddress())
     , m_listener(m_loop,
                  [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
@@ -171,6 +171,7 @@
     AddRoute(config, "/safe/", RequestKind::Idempotent, "plain");
     AddRoute(config, "/once/", RequestKind::NeverRepeat, "plain");
     AddRoute(config, "/keyed/", RequestKind::Idempotent, "keyed");
+    AddRoute(config, "/large/", RequestKind::Download, "plain");
     config.m_services["keyed"].m_keyed = true;
     config.m_limits.m_bodyBytes = 100'000;
     config.m_limits.m_headTimeout = Millis(300);
--- a/test/sapphirehook/gateway/unresponsive_endpoints.cpp
+++ b/test/sapphirehook/gateway/unresponsive_endpoints.cpp
@@ -116,3 +116,25 @@
     CHECK(fixture.m_received.find("Connection: close") != std::string::npos);
   }
 }
+
+TEST_CASE("downloads beyond the link's capacity wait, other requests do not",
+          "[gateway][download]")
+{
+  // 10 Mbit/s carry 5 answers of the assumed 90 KB in the objective of 400 ms.
+  Fixture fixture(10.0);
+  fixture.List("plain");
+  fixture.SetScript(Ignore);
+  for (int i = 0; i < 7; ++i) {
+    fixture.Send("GET /large/x HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  CHECK(fixture.Until([&] { return fixture.Arrived() == 5; }));
+  CHECK_FALSE(fixture.Until([&] { return fixture.Arrived() > 5; }, Millis(50)));
+  CHECK(fixture.m_engine.Metrics().m_linkFull == 2);
+  fixture.Send("GET /safe/x HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(fixture.Until([&] { return fixture.Arrived() == 6; }, Millis(150)));
+  // The capacity of requests that end is used again.
+  fixture.m_caller.reset();
+  fixture.Until([] { return false; }, Millis(50));
+  fixture.SetScript(ScriptedEndpoint::Serve);
+  CHECK(Fixture::HasStatus(fixture.Ask("/large/x", "a"), 200));
+}
