--- a/test/sapphirehook/keys/evacuation.cpp
+++ b/test/sapphirehook/keys/evacuation.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <deque>
+#include <functional>
 #include <memory>
+#include <utility>
 
 using namespace sapphirehook;
 
@@ -19,18 +20,9 @@
   return TimePoint(std::chrono::seconds(100) + aTime);
 }
 
-bool
-IsInZone(const std::string& aEndpoint)
-{
-  return std::stoul(aEndpoint.substr(1)) < kInZone;
-}
-
 /** A leader whose commands and appends take as long as on a real host. */
-class Leader
+struct Leader
 {
-public:
-  Leader() { Restart(At(Millis(0)), 1); }
-
   /** Begins a term with the stored assignments. */
   void Restart(TimePoint aNow, Fence aFence)
   {
@@ -42,34 +34,23 @@
       }
     }
     m_manager->CoverAll(90);
-    m_calls.clear();
-    m_storedAt = TimePoint::max();
+    m_due.clear();
+    m_storing = false;
   }
 
-  void SetEvacuation(std::optional<TimePoint> aBy) { m_evacuateBy = aBy; }
-
   void Run(TimePoint aNow)
   {
-    std::erase_if(m_calls, [&](const Call& aCall) {
-      if (aNow >= aCall.m_endsAt) {
-        if (aCall.m_isGrant) {
-          m_manager->OnGrantEnd(aNow, aCall.m_id, { CommandOutcome::Done, "" });
-        } else {
-          m_manager->OnReleaseEnd(
-            aNow, aCall.m_id, { CommandOutcome::Done, "h" });
-        }
-      }
-      return aNow >= aCall.m_endsAt;
-    });
-    if (aNow >= m_storedAt) {
-      m_storedAt = TimePoint::max();
-      m_manager->OnStored(aNow);
+    while (!m_due.empty() && m_due.begin()->first <= aNow) {
+      m_due.extract(m_due.begin()).mapped()();
     }
-    if (m_storedAt == TimePoint::max() && m_manager->HasToStore()) {
+    if (m_manager->HasToStore() && !std::exchange(m_storing, true)) {
       for (auto& block : m_manager->BeginStore()) {
         m_stored[block.m_block] = block.m_assignments;
       }
-      m_storedAt = aNow + Millis(70);
+      m_due.emplace(aNow + Millis(70), [this, aNow] {
+        m_storing = false;
+        m_manager->OnStored(aNow + Millis(70));
+      });
     }
     const bool all = SinceBoot(aNow).count() % 100 == 0;
     if (all) {
@@ -80,59 +61,53 @@
       all ? m_manager->Tick(aNow) : m_manager->TickChanged(aNow);
     for (const auto& grant : actions.m_grants) {
       m_handovers += grant.m_command.m_handover == "h" ? 1 : 0;
-      m_calls.push_back({ aNow + Millis(20), grant.m_id, true });
+      const TimePoint ends = aNow + Millis(20);
+      m_due.emplace(ends, [this, ends, id = grant.m_id] {
+        m_manager->OnGrantEnd(ends, id, { CommandOutcome::Done, "" });
+      });
     }
     for (const auto& release : actions.m_releases) {
-      m_calls.push_back({ aNow + Millis(250), release.m_id, false });
+      const TimePoint ends = aNow + Millis(250);
+      m_due.emplace(ends, [this, ends, id = release.m_id] {
+        m_manager->OnReleaseEnd(ends, id, { CommandOutcome::Done, "h" });
+      });
     }
   }
 
-  [[nodiscard]] std::size_t LeftInZone() const
+  template<typename Condition>
+  [[nodiscard]] std::size_t Count(Condition aCondition) const
   {
     const auto routes = m_manager->Routes();
     return static_cast<std::size_t>(
-      std::count_if(routes.begin(), routes.end(), [](const RangeRoute& aRoute) {
-        return !aRoute.m_endpoint.empty() && IsInZone(aRoute.m_endpoint);
-      }));
+      std::count_if(routes.begin(), routes.end(), aCondition));
   }
-
-  [[nodiscard]] std::size_t WithoutHolder() const
+  [[nodiscard]] std::size_t LeftInZone() const
   {
-    const auto routes = m_manager->Routes();
-    return static_cast<std::size_t>(
-      std::count_if(routes.begin(), routes.end(), [](const RangeRoute& aRoute) {
-        return !aRoute.m_ready;
-      }));
+    return Count([](const RangeRoute& aRoute) {
+      return !aRoute.m_endpoint.empty() &&
+             std::stoul(aRoute.m_endpoint.substr(1)) < kInZone;
+    });
   }
-
-  [[nodiscard]] const RangeManager& Manager() const { return *m_manager; }
-  [[nodiscard]] std::size_t Handovers() const { return m_handovers; }
-
-private:
-  struct Call
+  [[nodiscard]] std::size_t WithoutHolder() const
   {
-    TimePoint m_endsAt{};
-    std::uint64_t m_id = 0;
-    bool m_isGrant = false;
-  };
+    return Count([](const RangeRoute& aRoute) { return !aRoute.m_ready; });
+  }
 
   [[nodiscard]] std::vector<RangeManagerEndpoint> Endpoints() const
   {
-    std::vector<RangeManagerEndpoint> endpoints;
+    std::vector<RangeManagerEndpoint> endpoints(kEndpoints);
     for (std::size_t i = 0; i < kEndpoints; ++i) {
-      RangeManagerEndpoint endpoint;
-      endpoint.m_incarnation = { "e" + std::to_string(i), 1 };
-      endpoint.m_evacuateBy = i < kInZone ? m_evacuateBy : std::nullopt;
-      endpoint.m_usable = !endpoint.m_evacuateBy;
-      endpoints.push_back(endpoint);
+      endpoints[i].m_incarnation = { "e" + std::to_string(i), 1 };
+      endpoints[i].m_evacuateBy = i < kInZone ? m_evacuateBy : std::nullopt;
+      endpoints[i].m_usable = !endpoints[i].m_evacuateBy;
     }
     return endpoints;
   }
 
   std::unique_ptr<RangeManager> m_manager;
   std::map<unsigned, std::vector<RangeAssignment>> m_stored;
-  std::deque<Call> m_calls;
-  TimePoint m_storedAt = TimePoint::max();
+  std::multimap<TimePoint, std::function<void()>> m_due;
+  bool m_storing = false;
   std::optional<TimePoint> m_evacuateBy;
   std::size_t m_handovers = 0;
 };
@@ -145,6 +120,7 @@
           "[keys][evacuation]")
 {
   Leader leader;
+  leader.Restart(At(Millis(0)), 1);
   Millis now{ 0 };
   for (; now < Millis(12'000); now += kStep) {
     leader.Run(At(now));
@@ -153,14 +129,14 @@
   const auto before = leader.LeftInZone();
   REQUIRE(before > kInZone);
   const Millis end = now + Millis(4000);
-  leader.SetEvacuation(At(end));
+  leader.m_evacuateBy = At(end);
   std::size_t mostWithout = 0;
   std::size_t toMove = 0;
   Millis emptyAt{ 0 };
   const auto run = [&](Millis aUntil) {
     for (; now < aUntil; now += kStep) {
       leader.Run(At(now));
-      toMove = std::max(toMove, leader.Manager().RangesToEvacuate());
+      toMove = std::max(toMove, leader.m_manager->RangesToEvacuate());
       mostWithout = std::max(mostWithout, leader.WithoutHolder());
       if (leader.LeftInZone() > 0 || leader.WithoutHolder() > 0) {
         emptyAt = now;
@@ -174,8 +150,8 @@
                    << (emptyAt - end).count() + 4000);
     CHECK(emptyAt < end);
     CHECK(mostWithout <= std::max<std::size_t>(toMove / 3, 6));
-    CHECK(leader.Handovers() >= toMove);
-    CHECK(leader.Manager().RangesToEvacuate() == 0);
+    CHECK(leader.m_handovers >= toMove);
+    CHECK(leader.m_manager->RangesToEvacuate() == 0);
   }
   SECTION("by two leaders, the second from the middle on")
   {
@@ -189,7 +165,7 @@
   SECTION("not further when the zone returns midway")
   {
     run(now + Millis(1500));
-    leader.SetEvacuation(std::nullopt);
+    leader.m_evacuateBy.reset();
     run(now + Millis(1500));
     CHECK(leader.WithoutHolder() == 0);
     CHECK(leader.LeftInZone() > 0);
--- a/test/sapphirehook/placement/cold_start.cpp
+++ b/test/sapphirehook/placement/cold_start.cpp
@@ -6,7 +6,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <deque>
-#include <memory>
+#include <numeric>
 #include <rapidcheck.h>
 
 using namespace sapphirehook;
@@ -76,28 +76,6 @@
   return sent;
 }
 
-/** Counts of the steps of the last second. */
-class Window
-{
-public:
-  static constexpr std::size_t kSteps = std::chrono::seconds(1) / kStep;
-
-  std::size_t Add(std::size_t aCount)
-  {
-    m_counts.push_back(aCount);
-    m_sum += aCount;
-    if (m_counts.size() > kSteps) {
-      m_sum -= m_counts.front();
-      m_counts.pop_front();
-    }
-    return m_sum;
-  }
-
-private:
-  std::deque<std::size_t> m_counts;
-  std::size_t m_sum = 0;
-};
-
 /** Returns the requests per second to an endpoint that is cold for a minute, if
     each host has aPerHost requests per second. */
 double
@@ -139,19 +117,14 @@
       1.0 + 0.1 * static_cast<double>(support::Draw(random, 200));
     const auto limit = MakeColdLimit(rate, 1.5, 8.0);
     auto fleet = Fleet(size, random, support::Draw(random, 16));
-    // All hosts have sent to the endpoint before it turns cold, at times that
-    // differ by the time that the entry takes to reach them.
+    // All hosts know the endpoint before it turns cold.
     for (auto& host : fleet) {
       host.m_cold.Update(At(Millis(-1000)), At(Millis(-2000)), Millis(8000));
+      host.m_cold.Update(At(Millis(0)), At(Millis(8000)), Millis(8000));
     }
-    Window window;
+    std::deque<std::size_t> lastSecond;
     int burst = 0;
     for (Millis now{ 0 }; now < Millis(8000); now += kStep) {
-      if (now == Millis(0)) {
-        for (auto& host : fleet) {
-          host.m_cold.Update(At(now), At(Millis(8000)), Millis(8000));
-        }
-      }
       // Bursts give every host a request at the same moment.
       if (support::Draw(random, 200) == 0) {
         burst = static_cast<int>(support::Draw(random, 30));
@@ -161,8 +134,12 @@
         host.m_waiting = std::min(host.m_waiting + (arrives ? 1 : 0), 3);
       }
       burst = std::max(burst - 1, 0);
-      const auto sum = window.Add(SendAll(fleet, At(now), limit, aKeyed));
-      RC_ASSERT(sum <= limit.m_perSecond);
+      lastSecond.push_back(SendAll(fleet, At(now), limit, aKeyed));
+      if (lastSecond.size() > std::size_t{ std::chrono::seconds(1) / kStep }) {
+        lastSecond.pop_front();
+      }
+      RC_ASSERT(std::accumulate(lastSecond.begin(), lastSecond.end(), 0UL) <=
+                limit.m_perSecond);
     }
   }));
 }
