Stand-in store: restore an older copy of itself

The store of the users may come back from a copy some seconds old. The stand-in could not play this. A new call makes it unavailable for a moment, undoes the appends since a time, gives their offsets out again, and raises the era that all its answers carry. It writes the operator's lost records again in a random order; servers renew theirs. Reads beyond the end get 410.

--- a/soak/inject.cpp
+++ b/soak/inject.cpp
@@ -19,6 +19,15 @@
 /** Slow endpoints need up to this many times the normal duration in addition,
     so that some requests exceed the timeout of their route. */
 constexpr double kMaxExtraSlowness = 15.0;
+/** Longest time for which the store is away before a restore, and the age of
+   the oldest copy. */
+constexpr Millis kMaxStoreAway{ 1000 };
+constexpr Millis kMaxCopyAge{ 5000 };
+/** A change of the configuration precedes the restore by this time, so that the
+    copy lacks it. */
+constexpr Millis kChangeLead{ 150 };
+/** Time after a restore by which all lost records have been written again. */
+constexpr Millis kWrittenAgain{ 1500 };
 
 } // namespace
 
@@ -46,6 +55,8 @@
     InjectEndpoint(aFault);
   } else if (aFault.m_kind <= FaultKind::StoreForgets) {
     InjectStore(aFault);
+  } else if (aFault.m_kind == FaultKind::StoreRestored) {
+    RestoreStore(aFault);
   } else if (aFault.m_kind == FaultKind::ConfigChange) {
     RecordFault(aFault, Millis(0));
     ChangeConfig();
@@ -291,6 +302,26 @@
   ScheduleFaultEnd("store", aFault.m_duration, [this] { SetStoreFault({}); });
 }
 
+/** Restores the store from a copy that is up to some seconds old. Changes of
+   the configuration before and after it show whether a gateway misses one. */
+void
+Soak::RestoreStore(const Fault& aFault)
+{
+  const Millis away = std::min(aFault.m_duration, kMaxStoreAway);
+  const auto age =
+    std::chrono::duration_cast<Millis>(kMaxCopyAge * aFault.m_strength);
+  RecordFault(aFault, away + kWrittenAgain);
+  ChangeConfig();
+  m_delayed.After(kChangeLead, [this, age, away] {
+    m_fleet.CallStore(RestoreCall(age, away));
+  });
+  m_delayed.After(kChangeLead + away + kWrittenAgain, [this] {
+    if (!m_faultsEnded) {
+      ChangeConfig();
+    }
+  });
+}
+
 void
 Soak::InjectLink(const Fault& aFault)
 {
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -38,7 +38,8 @@
   "endpoint-link-one-way",
   "peers-cut",
   "peers-lossy",
-  "config-change"
+  "config-change",
+  "store-restored"
 };
 
 /** Mean time between two faults. */
@@ -80,7 +81,7 @@
   const auto length = static_cast<double>(aOptions.m_faultPeriod.count());
   for (double at = gap(random); at < length; at += gap(random)) {
     Fault fault;
-    fault.m_kind = static_cast<FaultKind>(random() % kFaultKinds);
+    fault.m_kind = static_cast<FaultKind>(random() % kMixedFaultKinds);
     fault.m_at = Millis(static_cast<Millis::rep>(at));
     fault.m_duration = Millis(duration(random));
     fault.m_target = random();
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -48,9 +48,17 @@
   PeersCut,
   PeersLossy,
   ConfigChange,
+  /** The store is away and comes back with the state of some seconds before.
+      Only drawn on request, so that the seeds of earlier failures keep their
+      faults. */
+  StoreRestored,
 };
 
 inline constexpr std::size_t kFaultKinds =
+  static_cast<std::size_t>(FaultKind::StoreRestored) + 1;
+
+/** Number of the kinds of which a schedule of all kinds consists. */
+inline constexpr std::size_t kMixedFaultKinds =
   static_cast<std::size_t>(FaultKind::ConfigChange) + 1;
 
 [[nodiscard]] std::string_view
--- a/soak/soak.hpp
+++ b/soak/soak.hpp
@@ -53,6 +53,7 @@
   void InjectGateway(const Fault& aFault);
   void InjectEndpoint(const Fault& aFault);
   void InjectStore(const Fault& aFault);
+  void RestoreStore(const Fault& aFault);
   void InjectLink(const Fault& aFault);
   void KillGateway(std::size_t aIndex);
   void StopGateway(std::size_t aIndex);
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 namespace sapphirehook::soak {
@@ -14,6 +15,7 @@
 constexpr const char* kPutPath = "/soak/put";
 constexpr const char* kFaultPath = "/soak/fault";
 constexpr const char* kCompactPath = "/soak/compact";
+constexpr const char* kRestorePath = "/soak/restore";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
@@ -26,6 +28,12 @@
 constexpr Millis kMinLateDelay{ 1000 };
 constexpr int kExtraLateDelayMs = 2000;
 constexpr std::size_t kPageItems = 500;
+/** Oldest state that can be restored. */
+constexpr Millis kMaxRestoreAge{ 10'000 };
+/** The operator writes a lost record again within this time after a restore, at
+    the earliest after kMinRewriteDelay. */
+constexpr Millis kMinRewriteDelay{ 100 };
+constexpr int kExtraRewriteDelayMs = 900;
 
 } // namespace
 
@@ -52,6 +60,14 @@
   return { "POST", kFaultPath, "application/json", body.dump() };
 }
 
+HttpCall
+RestoreCall(Millis aAge, Millis aAway)
+{
+  const nlohmann::json body{ { "age_ms", aAge.count() },
+                             { "away_ms", aAway.count() } };
+  return { "POST", kRestorePath, "application/json", body.dump() };
+}
+
 HttpCall
 CompactCall()
 {
@@ -88,6 +104,8 @@
     OnFault(aExchange);
   } else if (target == kCompactPath) {
     OnCompact(aExchange);
+  } else if (target == kRestorePath) {
+    OnRestore(aExchange);
   } else if (target == kPutPath) {
     OnPut(aExchange);
   } else {
@@ -126,6 +144,121 @@
   aExchange->Answer({ kOk });
 }
 
+void
+StandinStore::OnRestore(const HttpExchangePtr& aExchange)
+{
+  const auto body = nlohmann::json::parse(aExchange->m_body);
+  const Millis age(body.at("age_ms").get<Millis::rep>());
+  const Millis away(body.at("away_ms").get<Millis::rep>());
+  m_fault = {};
+  m_fault.m_mode = StoreFault::Mode::Reset;
+  for (const auto& reader : std::exchange(m_readers, {})) {
+    reader->m_exchange->Reset();
+  }
+  m_delayed.After(away, [this, age] {
+    if (m_fault.m_mode == StoreFault::Mode::Reset) {
+      m_fault = {};
+    }
+    Restore(age);
+  });
+  aExchange->Answer({ kOk });
+}
+
+/** Removes the records of the last aAge and begins the next era. */
+void
+StandinStore::Restore(Millis aAge)
+{
+  ++m_era;
+  auto lost = UndoSince(BootClock::now() - aAge);
+  std::shuffle(lost.begin(), lost.end(), m_random);
+  std::set<std::pair<std::string, std::string>> written;
+  for (const auto& record : lost) {
+    if (record.m_isOfOperator &&
+        written.emplace(record.m_topic, record.m_key).second) {
+      WriteAgain(record,
+                 kMinRewriteDelay + Millis(m_random() % kExtraRewriteDelayMs));
+    }
+  }
+}
+
+/** Undoes the appends since a time. Returns the newest lost record of each
+    key. */
+std::vector<StandinStore::Appended>
+StandinStore::UndoSince(TimePoint aTime)
+{
+  const TimePoint now = BootClock::now();
+  std::map<std::pair<std::string, std::string>, Appended> lost;
+  while (!m_appended.empty() && m_appended.back().m_at > aTime) {
+    auto last = std::move(m_appended.back());
+    m_appended.pop_back();
+    auto& topic = m_topics[last.m_topic];
+    topic.m_records.erase(last.m_offset);
+    topic.m_end = last.m_offset;
+    topic.m_first = std::min(topic.m_first, topic.m_end);
+    const std::pair entry(last.m_topic, last.m_key);
+    m_expiries.erase(entry);
+    if (last.m_replaced) {
+      topic.m_newest[last.m_key] = *last.m_replaced;
+      if (const auto known = m_timesToLive.find(entry);
+          known != m_timesToLive.end()) {
+        m_expiries[entry] = now + known->second;
+      }
+    } else {
+      topic.m_newest.erase(last.m_key);
+    }
+    lost.emplace(entry, std::move(last));
+  }
+  std::vector<Appended> records;
+  for (auto& [entry, record] : lost) {
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+/** Writes a lost record again unless its key has a newer value by then. */
+void
+StandinStore::WriteAgain(const Appended& aRecord, Millis aDelay)
+{
+  m_delayed.After(aDelay, [this, aRecord, era = m_era] {
+    const auto& newest = m_topics[aRecord.m_topic].m_newest;
+    const auto known = newest.find(aRecord.m_key);
+    const bool isReplaced =
+      known != newest.end() &&
+      (!aRecord.m_replaced ||
+       known->second.m_offset != aRecord.m_replaced->m_offset);
+    if (era != m_era || isReplaced) {
+      return;
+    }
+    StoreCall call;
+    call.m_kind = StoreCallKind::Append;
+    call.m_topic = aRecord.m_topic;
+    call.m_records.push_back({ 0, aRecord.m_key, aRecord.m_value });
+    m_operatorWrites = true;
+    static_cast<void>(Append(call));
+    m_operatorWrites = false;
+  });
+}
+
+/** Keeps what is needed to undo an append, for as long as it can be undone. */
+void
+StandinStore::RecordAppend(const StoreCall& aCall, const KeyedRecord& aRecord)
+{
+  const TimePoint now = BootClock::now();
+  const auto& newest = m_topics[aCall.m_topic].m_newest;
+  const auto known = newest.find(aRecord.m_key);
+  m_appended.push_back(
+    { now,
+      aCall.m_topic,
+      aRecord.m_offset,
+      aRecord.m_key,
+      aRecord.m_value,
+      known == newest.end() ? std::nullopt : std::optional(known->second),
+      m_operatorWrites });
+  while (m_appended.front().m_at < now - kMaxRestoreAge) {
+    m_appended.pop_front();
+  }
+}
+
 /** Handles writes of servers and of the operator. The store rejects them while
     a fault mode is set. A write of an unchanged value renews the expiry and
     appends no record. */
@@ -143,6 +276,7 @@
   const auto timeToLive = Millis(body.at("lapses_after_ms").get<Millis::rep>());
   if (timeToLive > Millis(0)) {
     m_expiries[{ topic, key }] = BootClock::now() + timeToLive;
+    m_timesToLive[{ topic, key }] = timeToLive;
   } else {
     m_expiries.erase({ topic, key });
   }
@@ -155,7 +289,10 @@
     call.m_topic = topic;
     call.m_records.push_back(
       { 0, key, value.empty() ? std::nullopt : std::optional(value) });
+    m_operatorWrites =
+      timeToLive <= Millis(0) && !m_timesToLive.contains({ topic, key });
     static_cast<void>(Append(call));
+    m_operatorWrites = false;
   }
   aExchange->Answer({ kOk });
 }
@@ -172,7 +309,7 @@
   }
   switch (m_fault.m_mode) {
     case StoreFault::Mode::Busy:
-      aExchange->Answer({ kUnavailable });
+      Reject(aExchange);
       return;
     case StoreFault::Mode::Unresponsive:
       m_unanswered.push_back(aExchange);
@@ -209,10 +346,20 @@
 }
 
 void
-StandinStore::Reply(const HttpExchangePtr& aExchange, const HttpReply& aReply)
+StandinStore::Reply(const HttpExchangePtr& aExchange, HttpReply aReply)
+{
+  platform::AddStoreEra(aReply, m_era);
+  m_delayed.After(
+    kAppendTime + m_fault.m_delay,
+    [aExchange, reply = std::move(aReply)] { aExchange->Answer(reply); });
+}
+
+void
+StandinStore::Reject(const HttpExchangePtr& aExchange)
 {
-  m_delayed.After(kAppendTime + m_fault.m_delay,
-                  [aExchange, aReply] { aExchange->Answer(aReply); });
+  HttpReply reply{ kUnavailable };
+  platform::AddStoreEra(reply, m_era);
+  aExchange->Answer(reply);
 }
 
 HttpReply
@@ -225,6 +372,7 @@
   const Offset first = topic.m_end;
   for (auto record : aCall.m_records) {
     record.m_offset = topic.m_end++;
+    RecordAppend(aCall, record);
     topic.m_records[record.m_offset] = record;
     if (record.m_value) {
       topic.m_newest[record.m_key] = record;
@@ -243,8 +391,12 @@
   if (Draw() < m_fault.m_lateShare) {
     m_unanswered.push_back(aExchange);
     const Millis more(m_random() % kExtraLateDelayMs);
-    m_delayed.After(kMinLateDelay + more,
-                    [this, aCall] { static_cast<void>(Append(aCall)); });
+    m_delayed.After(kMinLateDelay + more, [this, aCall, era = m_era] {
+      // A restored store knows no calls of before.
+      if (era == m_era) {
+        static_cast<void>(Append(aCall));
+      }
+    });
     return;
   }
   const auto reply = Append(aCall);
@@ -277,7 +429,7 @@
                         bool aWaits)
 {
   const auto& topic = m_topics[aCall.m_topic];
-  if (aCall.m_from < topic.m_first) {
+  if (aCall.m_from < topic.m_first || aCall.m_from > topic.m_end) {
     Reply(aExchange, platform::ForgottenReply(topic.m_first));
     return true;
   }
--- a/soak/store.hpp
+++ b/soak/store.hpp
@@ -6,7 +6,9 @@
 #include "sapphirehook/http1/server.hpp"
 #include "soak/delayed_calls.hpp"
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -56,6 +58,21 @@
     std::map<std::string, KeyedRecord> m_newest;
   };
 
+  /** An appended record, as it is needed to restore an older state. */
+  struct Appended
+  {
+    TimePoint m_at{};
+    std::string m_topic;
+    Offset m_offset = 0;
+    std::string m_key;
+    /** The value, and the one that it replaced. */
+    std::optional<std::string> m_value;
+    std::optional<KeyedRecord> m_replaced;
+    /** Whether the operator wrote it, who writes it again after a restore. The
+        stand-ins of servers write their entries periodically. */
+    bool m_isOfOperator = false;
+  };
+
   struct Reader
   {
     HttpExchangePtr m_exchange;
@@ -69,6 +86,12 @@
   void OnPut(const HttpExchangePtr& aExchange);
   void OnFault(const HttpExchangePtr& aExchange);
   void OnCompact(const HttpExchangePtr& aExchange);
+  void OnRestore(const HttpExchangePtr& aExchange);
+  void Restore(Millis aAge);
+  [[nodiscard]] std::vector<Appended> UndoSince(TimePoint aTime);
+  void WriteAgain(const Appended& aRecord, Millis aDelay);
+  void RecordAppend(const platform::StoreCall& aCall,
+                    const KeyedRecord& aRecord);
   void Serve(const HttpExchangePtr& aExchange,
              const platform::StoreCall& aCall);
   void ServeAppend(const HttpExchangePtr& aExchange,
@@ -79,7 +102,10 @@
                                const platform::StoreCall& aCall,
                                bool aWaits);
   [[nodiscard]] HttpReply Append(const platform::StoreCall& aCall);
-  void Reply(const HttpExchangePtr& aExchange, const HttpReply& aReply);
+  /** Answers a call with the present era. */
+  void Reply(const HttpExchangePtr& aExchange, HttpReply aReply);
+  /** Rejects a call. */
+  void Reject(const HttpExchangePtr& aExchange);
   void WakeReaders(const std::string& aTopic);
   void Tick();
   [[nodiscard]] double Draw();
@@ -88,11 +114,18 @@
   Timer m_timer;
   std::mt19937 m_random;
   StoreFault m_fault;
+  /** Era that answers report, and the records of the last seconds. */
+  StoreEra m_era = 1;
+  std::deque<Appended> m_appended;
+  /** Whether the record that is being appended comes from the operator. */
+  bool m_operatorWrites = false;
   std::map<std::string, Topic> m_topics;
   std::vector<std::shared_ptr<Reader>> m_readers;
   /** Expiry times of entries, by topic and key. An entry expires unless it is
       written again. */
   std::map<std::pair<std::string, std::string>, TimePoint> m_expiries;
+  /** Times to live of entries, which hold for restored entries too. */
+  std::map<std::pair<std::string, std::string>, Millis> m_timesToLive;
   /** Calls that are kept open and never answered. */
   std::vector<HttpExchangePtr> m_unanswered;
   DelayedCalls m_delayed;
@@ -110,6 +143,14 @@
 [[nodiscard]] HttpCall
 StoreFaultCall(const StoreFault& aFault);
 
+/** Returns the call that makes the store unavailable for aAway and then
+   restores the state that it had aAge before. The store gives the offsets after
+   that state out again. It writes the lost records of the operator again, one
+   after the other in a random order; the writers of the other records do so
+    themselves. */
+[[nodiscard]] HttpCall
+RestoreCall(Millis aAge, Millis aAway);
+
 /** Returns the call that deletes all records of all topics except the newest
     record of each key. */
 [[nodiscard]] HttpCall
