--- a/src/sapphirehook/discovery/endpoint_directory.cpp
+++ b/src/sapphirehook/discovery/endpoint_directory.cpp
@@ -6,7 +6,9 @@
 namespace sapphirehook {
 
 bool
-EndpointDirectory::OnRecord(TimePoint aNow, EndpointRecord aRecord)
+EndpointDirectory::OnRecord(TimePoint aNow,
+                            EndpointRecord aRecord,
+                            std::optional<TimePoint> aRestoredUntil)
 {
   auto& known = m_endpoints[aRecord.m_incarnation.m_name];
   const auto& before = known.m_record;
@@ -14,6 +16,11 @@
     return false; // a delayed record of an earlier incarnation
   }
   const bool same = before.m_incarnation == aRecord.m_incarnation;
+  if (same && known.m_removedAt && aRestoredUntil && aNow < *aRestoredUntil) {
+    known.m_confirmedAt = *aRestoredUntil;
+    known.m_record.m_draining = before.m_draining || aRecord.m_draining;
+    return true;
+  }
   const bool changed = !same || known.m_removedAt ||
                        before.m_draining != aRecord.m_draining ||
                        before.m_service != aRecord.m_service;
@@ -22,6 +29,7 @@
   known.m_warmAt = aNow + aRecord.m_warmUpLeft;
   known.m_readAt = aNow;
   known.m_removedAt.reset();
+  known.m_confirmedAt.reset();
   known.m_record = std::move(aRecord);
   return changed;
 }
@@ -32,7 +40,11 @@
                              std::optional<TimePoint> aMayHaveLapsedAt)
 {
   const auto found = m_endpoints.find(aName);
-  if (found == m_endpoints.end() || found->second.m_removedAt) {
+  if (found == m_endpoints.end()) {
+    return;
+  }
+  found->second.m_confirmedAt.reset();
+  if (found->second.m_removedAt) {
     return;
   }
   auto& known = found->second;
@@ -42,12 +54,24 @@
     mayReturn ? std::max(aNow, *aMayHaveLapsedAt + m_returnGrace) : aNow;
 }
 
+void
+EndpointDirectory::ConfirmListed(TimePoint aNow)
+{
+  for (auto& [name, known] : m_endpoints) {
+    if (known.m_confirmedAt && aNow >= *known.m_confirmedAt) {
+      known.m_confirmedAt.reset();
+      known.m_removedAt.reset();
+    }
+  }
+}
+
 void
 EndpointDirectory::Forget(TimePoint aNow, Millis aAfter)
 {
   std::erase_if(m_endpoints, [&](const auto& aEntry) {
     const auto& known = aEntry.second;
-    return known.m_removedAt && known.m_removalEffectiveAt <= aNow - aAfter;
+    return known.m_removedAt && !known.m_confirmedAt &&
+           known.m_removalEffectiveAt <= aNow - aAfter;
   });
 }
 
--- a/src/sapphirehook/discovery/endpoint_directory.hpp
+++ b/src/sapphirehook/discovery/endpoint_directory.hpp
@@ -54,6 +54,9 @@
   std::optional<TimePoint> m_removedAt;
   /** When the removal takes effect. */
   TimePoint m_removalEffectiveAt{};
+  /** When an entry that a restored store lists again counts as listed. Empty
+      unless the entry has been removed and may come from the store's copy. */
+  std::optional<TimePoint> m_confirmedAt = std::nullopt;
 };
 
 /** The endpoints by name. Removals around an outage of the store only take
@@ -68,8 +71,17 @@
   {
   }
 
-  /** Adds or updates an entry. Returns false if it changes nothing. */
-  bool OnRecord(TimePoint aNow, EndpointRecord aRecord);
+  /** Adds or updates an entry. Returns false if it changes nothing.
+      aRestoredUntil is set if the entry may come from the copy that the store
+      was restored from. An endpoint that has been removed is then not listed
+      again before that time, since its owner may have ended; an entry without
+      a living owner lapses until then. */
+  bool OnRecord(TimePoint aNow,
+                EndpointRecord aRecord,
+                std::optional<TimePoint> aRestoredUntil = std::nullopt);
+
+  /** Lists the endpoints again whose entries have been confirmed by now. */
+  void ConfirmListed(TimePoint aNow);
 
   /** Records that the entry of a name has been removed. After a recent outage
       of the store, the entry may have lapsed and may be written again. The
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -216,6 +216,7 @@
   events.m_onFailure = [this, aTopic](const ReadFailure& aFailure) {
     OnReadFailure(aTopic, aFailure);
   };
+  events.m_onEra = [this](StoreEra aEra) { OnStoreEra(aEra); };
   events.m_onUnreadable = [this, aTopic](std::size_t aRecords) {
     WriteRateLimited(aTopic,
                      LogLine("records-unreadable")
@@ -303,22 +304,36 @@
     return; // an older page was read again
   }
   if (config->m_version > m_configVersion || m_engine.Routes() == nullptr) {
-    m_configVersion = config->m_version;
-    m_versions.Add(BootClock::now(), m_configVersion);
-    m_log.Write(LogLine("configuration-in-force")
+    m_log.Write(LogLine("configuration-read")
                   .Add("version", config->m_version)
                   .Add("offset", aRecord.m_offset)
-                  .Add("routes", config->m_routes.size())
                   .Add("bytes", aRecord.m_value->size())
-                  .Add("issues", config->m_issues.size())
-                  .Add("from", m_recordSource),
-                LogPriority::State);
-    LogIssues(*config);
-    m_engine.SetRoutes(std::make_shared<const RouteTable>(*std::move(config)));
-    m_ownership.OnChange();
+                  .Add("from", m_recordSource));
+    if (m_engine.Routes() != nullptr) {
+      ApplyConfig(*std::move(config));
+    } else if (!m_heldConfig || m_heldConfig->m_version <= config->m_version) {
+      m_heldConfig = *std::move(config);
+      CheckHeldConfig(BootClock::now());
+    }
   }
 }
 
+void
+Gateway::ApplyConfig(RoutingConfig aConfig)
+{
+  m_configVersion = aConfig.m_version;
+  m_versions.Add(BootClock::now(), m_configVersion);
+  m_log.Write(LogLine("configuration-in-force")
+                .Add("version", aConfig.m_version)
+                .Add("routes", aConfig.m_routes.size())
+                .Add("issues", aConfig.m_issues.size())
+                .Add("from", m_recordSource),
+              LogPriority::State);
+  LogIssues(aConfig);
+  m_engine.SetRoutes(std::make_shared<const RouteTable>(std::move(aConfig)));
+  m_ownership.OnChange();
+}
+
 /** Logs the parts of a configuration that could not be applied as written. */
 void
 Gateway::LogIssues(const RoutingConfig& aConfig)
@@ -374,7 +389,8 @@
                   .Add("draining", record->m_draining ? 1 : 0)
                   .Add("offset", aRecord.m_offset),
                 LogPriority::Routine);
-    m_directory.OnRecord(now, *std::move(record));
+    m_directory.OnRecord(
+      now, *std::move(record), RestoredEntryUntil(aRecord.m_offset));
   }
   if (!m_endpointsQueued) {
     m_endpointsQueued = true;
@@ -387,6 +403,7 @@
 {
   m_endpointsQueued = false;
   const TimePoint now = BootClock::now();
+  m_directory.ConfirmListed(now);
   m_directory.Forget(now, kForgetAfter);
   m_engine.SetEndpoints(now, m_directory);
   m_ownership.OnChange();
@@ -396,6 +413,9 @@
     if (known.m_removedAt && now < known.m_removalEffectiveAt) {
       next = std::min(next, known.m_removalEffectiveAt);
     }
+    if (known.m_confirmedAt) {
+      next = std::min(next, *known.m_confirmedAt);
+    }
   }
   if (next != TimePoint::max()) {
     m_directoryTimer.Start(next - now);
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "sapphirehook/gateway/host_registry.hpp"
 #include "sapphirehook/gateway/ownership.hpp"
 #include "sapphirehook/gateway/settings.hpp"
+#include "sapphirehook/gateway/start_config.hpp"
 #include "sapphirehook/gateway/version_history.hpp"
 #include "sapphirehook/gossip/fleet_size.hpp"
 #include "sapphirehook/gossip/topic_catch_up.hpp"
@@ -46,6 +47,16 @@
   void LogIssues(const RoutingConfig& aConfig);
   void OnEndpoint(const KeyedRecord& aRecord);
   void OnEndpointsChanged();
+  /** Records that the store has reached an era. */
+  void OnStoreEra(StoreEra aEra);
+  void OnPeerEra(TimePoint aArrivedAt, const GossipHeartbeat& aHeartbeat);
+  void ApplyConfig(RoutingConfig aConfig);
+  void CheckHeldConfig(TimePoint aNow);
+  /** Returns until when an endpoint entry of the present era may come from the
+      copy that the store was restored from, or nothing if its owner wrote it
+      in this era. */
+  [[nodiscard]] std::optional<TimePoint> RestoredEntryUntil(
+    Offset aOffset) const;
   void OnStoreFailure(std::string_view aTopic, StoreAnswer aAnswer);
   void OnReadFailure(const std::string& aTopic, const ReadFailure& aFailure);
   /** Writes a log line at most once a second for each event and topic. */
@@ -77,7 +88,7 @@
       daemon has read. */
   [[nodiscard]] const std::vector<TopicRelay>& RelaysSince(
     const std::string& aTopic,
-    Offset aHave);
+    StorePosition aHave);
   /** Sends the records from aFrom on to the peers if this daemon relays the
       topic. */
   void RelayRecords(const std::string& aTopic, Offset aFrom);
@@ -115,6 +126,14 @@
   Timer m_readersTimer;
   std::uint64_t m_configVersion = 0;
   VersionHistory m_versions;
+  /** Decides whether the configuration that is read at the start is as new as
+      the peers'. */
+  StartConfig m_startConfig;
+  /** A configuration that is not in force, because peers may have a later
+      one. */
+  std::optional<RoutingConfig> m_heldConfig;
+  /** When this daemon learned of its peers. */
+  std::optional<TimePoint> m_peersKnownAt;
   /** Source of the records that are being applied: "store" or the name of a
       peer. */
   std::string m_recordSource = "store";
@@ -129,6 +148,11 @@
   TimePoint m_storeConfirmedAt{};
   TimePoint m_probedAt{};
   OutageWatch m_outages;
+  /** Latest known era of the store. */
+  StoreEra m_storeEra = 0;
+  /** When that era began, as far as this daemon knows. Empty if it began before
+      this daemon read the store. */
+  std::optional<TimePoint> m_eraBeganAt;
   bool m_endpointsQueued = false;
   TimePoint m_startedAt = BootClock::now();
   bool m_stopping = false;
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -28,6 +28,11 @@
     } else {
       m_outages.OnRefused(now);
     }
+    OnPeerEra(arrivedAt, *heartbeat);
+    m_startConfig.OnPeer(
+      now,
+      aFrom.m_host,
+      { heartbeat->m_configVersion, heartbeat->m_isConfigInForce });
     OnPeerConfirmations(arrivedAt, aFrom, *heartbeat);
     CompareEnds(now, aFrom, *heartbeat);
   }
@@ -77,6 +82,7 @@
   }
   ChooseReaders(now);
   CatchUp(now);
+  CheckHeldConfig(now);
   m_log.Flush();
 }
 
@@ -99,12 +105,22 @@
   heartbeat.m_uses = m_engine.TakeUses(aNow);
   for (const auto& [topic, topicState] : m_topicStates) {
     heartbeat.m_ends[topic] = ReaderOf(topic).End();
+    heartbeat.m_positions[topic] = ReaderOf(topic).Position();
     const auto& confirmation = topicState.m_ownConfirmation;
     if (confirmation.m_at != TimePoint{}) {
       const auto age = std::chrono::ceil<Millis>(aNow - confirmation.m_at);
-      heartbeat.m_reportedEnds[topic] = { confirmation.m_end, age.count() };
+      heartbeat.m_reportedEnds[topic] = { confirmation.m_end.m_offset,
+                                          age.count(),
+                                          confirmation.m_end.m_era };
     }
   }
+  if (m_eraBeganAt) {
+    heartbeat.m_eraAgeMs =
+      std::chrono::duration_cast<Millis>(aNow - *m_eraBeganAt).count();
+  }
+  heartbeat.m_isConfigInForce = m_engine.Routes() != nullptr;
+  heartbeat.m_configVersion =
+    m_heldConfig ? m_heldConfig->m_version : m_configVersion;
   heartbeat.m_storeWorks = m_storeWorks;
   heartbeat.m_relays = m_storeWorks && RelaysAnyTopic();
   heartbeat.m_storeConfirmationAgeMs =
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -67,6 +67,8 @@
   AppendMetric(
     text, "sapphirehook_leads", "gauge", m_ownership.Leads() ? 1 : 0);
   AppendMetric(text, "sapphirehook_store_works", "gauge", m_storeWorks ? 1 : 0);
+  AppendMetric(text, "sapphirehook_store_era", "gauge", m_storeEra);
+  AppendMetric(text, "sapphirehook_config_held", "gauge", m_heldConfig ? 1 : 0);
   AppendMetric(text,
                "sapphirehook_follows_store",
                "gauge",
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -161,11 +161,11 @@
     const auto reported = aHeartbeat.m_reportedEnds.find(topic);
     if (reported != aHeartbeat.m_reportedEnds.end()) {
       topicState.m_readSchedule.OnPeerConfirmation(
-        { reported->second.m_end,
+        { reported->second.Position(),
           aArrivedAt - Millis(reported->second.m_ageMs),
           {} },
         isEarlierReader,
-        ReaderOf(topic).End());
+        ReaderOf(topic).Position());
     }
   }
 }
@@ -187,20 +187,24 @@
 }
 
 const std::vector<TopicRelay>&
-Gateway::RelaysSince(const std::string& aTopic, Offset aHave)
+Gateway::RelaysSince(const std::string& aTopic, StorePosition aHave)
 {
   const auto& reader = ReaderOf(aTopic);
-  const Offset from = reader.Compacted().BatchStart(aHave);
+  // Offsets of another era mean nothing here.
+  const Offset from = aHave.m_era == reader.Era()
+                        ? reader.Compacted().BatchStart(aHave.m_offset)
+                        : 0;
   auto& cached = m_topicStates.at(aTopic).m_relays;
   const auto found =
     std::find_if(cached.begin(), cached.end(), [&](const auto& aOne) {
-      return aOne.front().m_from == from && aOne.front().m_next == reader.End();
+      return aOne.front().m_from == from &&
+             aOne.front().End() == reader.Position();
     });
   if (found != cached.end()) {
     return *found;
   }
-  auto relays =
-    SplitBatch({ aTopic, from, reader.End(), reader.Compacted().Since(from) });
+  auto relays = SplitBatch(
+    { aTopic, from, reader.Position(), reader.Compacted().Since(from) });
   if (relays.empty()) {
     static const std::vector<TopicRelay> kNone;
     return kNone;
@@ -218,11 +222,12 @@
   if (!RelaysTopic(aTopic)) {
     return;
   }
-  const auto& relays = RelaysSince(aTopic, aFrom);
+  const auto& relays = RelaysSince(aTopic, { ReaderOf(aTopic).Era(), aFrom });
   m_log.Write(LogLine("records-passed-on")
                 .Add("topic", aTopic)
                 .Add("from_offset", aFrom)
                 .Add("next_offset", ReaderOf(aTopic).End())
+                .Add("era", ReaderOf(aTopic).Era())
                 .Add("datagrams", relays.size()));
   // Peers request larger batches themselves. Only the leader gets heartbeats of
   // all daemons often enough to know which are alive.
@@ -245,7 +250,7 @@
     return; // a topic of another version of the daemon
   }
   const auto& reader = ReaderOf(aRequest.m_topic);
-  if (!reader.IsCaughtUp() || reader.End() <= aRequest.m_have) {
+  if (!reader.IsCurrent() || reader.Position() <= aRequest.Have()) {
     return; // no newer records here; the peer then asks another daemon
   }
   if (!m_relayCredit.HasCredit(BootClock::now())) {
@@ -265,10 +270,11 @@
   const auto begun =
     std::find_if(cached.begin(), cached.end(), [&](const auto& aOne) {
       return aOne.front().m_from <= aRequest.m_have &&
-             aOne.front().m_next == aRequest.m_next;
+             aOne.front().End() ==
+               StorePosition{ aRequest.m_era, aRequest.m_next };
     });
   if (aRequest.m_missing.empty() || begun == cached.end()) {
-    const auto& relays = RelaysSince(aRequest.m_topic, aRequest.m_have);
+    const auto& relays = RelaysSince(aRequest.m_topic, aRequest.Have());
     std::for_each(relays.begin(), relays.end(), send);
     return;
   }
@@ -286,18 +292,29 @@
   if (topicState == m_topicStates.end()) {
     return; // a topic of another version of the daemon
   }
+  auto& reader = ReaderOf(aRelay.m_topic);
+  OnStoreEra(aRelay.m_era);
+  if (aRelay.m_era < reader.Era()) {
+    WriteRateLimited(aRelay.m_topic,
+                     LogLine("relay-refused")
+                       .Add("topic", aRelay.m_topic)
+                       .Add("why", RelayOutcomeName(RelayOutcome::EarlierEra))
+                       .Add("era", reader.Era())
+                       .Add("sender_era", aRelay.m_era)
+                       .Add("sender", aFrom.m_host));
+    return;
+  }
   const auto batch =
     topicState->second.m_catchUp.OnPart(BootClock::now(), aFrom.m_host, aRelay);
   if (!batch) {
     return;
   }
-  auto& reader = ReaderOf(batch->m_topic);
   const Offset have = reader.End();
   m_recordSource = aFrom.m_host;
   const auto outcome =
     reader.Accept(batch->m_from, batch->m_next, batch->m_records);
   m_recordSource = "store";
-  topicState->second.m_readSchedule.OnRead(reader.End());
+  topicState->second.m_readSchedule.OnRead(reader.Position());
   if (outcome != RelayOutcome::Taken && outcome != RelayOutcome::Known) {
     WriteRateLimited(batch->m_topic,
                      LogLine("relay-refused")
@@ -305,7 +322,7 @@
                        .Add("why", RelayOutcomeName(outcome))
                        .Add("have", have)
                        .Add("from_offset", batch->m_from)
-                       .Add("next_offset", batch->m_next)
+                       .Add("next_offset", batch->m_next.m_offset)
                        .Add("sender", aFrom.m_host));
   }
 }
@@ -316,9 +333,8 @@
                      const GossipHeartbeat& aHeartbeat)
 {
   for (auto& [topic, topicState] : m_topicStates) {
-    const auto end = aHeartbeat.m_ends.find(topic);
-    if (end != aHeartbeat.m_ends.end()) {
-      topicState.m_catchUp.OnPeerEnd(aNow, aFrom.m_host, end->second);
+    if (const auto end = aHeartbeat.PositionOf(topic)) {
+      topicState.m_catchUp.OnPeerEnd(aNow, aFrom.m_host, *end);
     }
   }
   CatchUp(aNow);
@@ -332,7 +348,7 @@
   for (auto& [topic, topicState] : m_topicStates) {
     auto& reader = ReaderOf(topic);
     auto& catchUp = topicState.m_catchUp;
-    const auto wasBehind = catchUp.CheckPeers(aNow, reader.End());
+    const auto wasBehind = catchUp.CheckPeers(aNow, reader.Position());
     if (wasBehind && *wasBehind >= kBehindLimit) {
       m_log.Write(LogLine("reader-caught-up")
                     .Add("topic", topic)
@@ -350,7 +366,7 @@
     }
     const bool asksPeers = reader.AcceptsRelays();
     if (asksPeers) {
-      if (const auto step = catchUp.Next(aNow, reader.End())) {
+      if (const auto step = catchUp.Next(aNow, reader.Position())) {
         m_gossip.SendTo(step->m_peer, step->m_request);
         WriteRateLimited(
           topic,
@@ -358,7 +374,7 @@
             .Add("topic", topic)
             .Add("peer", step->m_peer)
             .Add("have", reader.End())
-            .Add("peer_has", catchUp.KnownEnd())
+            .Add("peer_has", catchUp.KnownEnd().m_offset)
             .Add("missing_parts", step->m_request.m_missing.size()));
       }
     }
@@ -371,7 +387,8 @@
                        LogLine("reader-behind")
                          .Add("topic", topic)
                          .Add("have", reader.End())
-                         .Add("peer_has", catchUp.KnownEnd())
+                         .Add("peer_has", catchUp.KnownEnd().m_offset)
+                         .Add("era", reader.Era())
                          .Add("behind_ms", behind));
     }
   }
--- a/src/sapphirehook/gateway/host_registry.cpp
+++ b/src/sapphirehook/gateway/host_registry.cpp
@@ -72,6 +72,16 @@
   }
 }
 
+void
+HostRegistry::RegisterAgain()
+{
+  if (m_listed) {
+    m_client.Abort();
+    m_registered = false;
+    Register();
+  }
+}
+
 void
 HostRegistry::Retry()
 {
--- a/src/sapphirehook/gateway/host_registry.hpp
+++ b/src/sapphirehook/gateway/host_registry.hpp
@@ -49,6 +49,10 @@
       yet. */
   void Start(bool aFirstStart);
 
+  /** Writes this host's entry again, after the store may have lost it. Does
+      nothing before the entries have been read once. */
+  void RegisterAgain();
+
   /** Whether the entries of the other hosts have been read once. */
   [[nodiscard]] bool IsListed() const noexcept { return m_listed; }
 
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -6,7 +6,9 @@
 #include "sapphirehook/gossip/topic_batch.hpp"
 #include "sapphirehook/keys/range_map.hpp"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -19,8 +21,16 @@
   Offset m_end = 0;
   /** Age of the report in milliseconds. */
   std::int64_t m_ageMs = 0;
+  /** Era of the store in that report. */
+  StoreEra m_era = 0;
 
-  MSGPACK_DEFINE_ARRAY(m_end, m_ageMs)
+  MSGPACK_DEFINE_ARRAY(m_end, m_ageMs, m_era)
+
+  /** Returns the reported end as a position. */
+  [[nodiscard]] StorePosition Position() const noexcept
+  {
+    return { m_era, m_end };
+  }
 };
 
 /** Heartbeat that each daemon sends several times a second. In a small fleet it
@@ -46,7 +56,7 @@
   /** Fraction of a processor core that the sender may use. */
   double m_processorShare = 0.0;
   /** For each topic that all daemons follow, the offset up to which the sender
-      has read. */
+      has read. Daemons of earlier versions use it in place of m_positions. */
   std::map<std::string, Offset> m_ends;
   std::vector<EndpointUse> m_uses;
   /** Digests of the range map of each keyed service. Set by the leader. */
@@ -59,6 +69,40 @@
   std::vector<FleetUse> m_totals;
   /** For each followed topic, its end as the store reported it. */
   std::map<std::string, ReportedEnd> m_reportedEnds;
+  /** For each topic that all daemons follow, the position up to which the
+     sender has read. Empty from daemons of earlier versions. */
+  std::map<std::string, StorePosition> m_positions;
+  /** Time since the latest era of m_positions began, as far as the sender
+     knows, in milliseconds. Negative if it does not know. */
+  std::int64_t m_eraAgeMs = -1;
+  /** Version of the configuration that the sender has in force, or has read
+      without using it yet. */
+  std::uint64_t m_configVersion = 0;
+  /** Whether the sender has that configuration in force. */
+  bool m_isConfigInForce = false;
+
+  /** Returns the position up to which the sender has read a topic, or nothing
+      if the sender does not follow the topic. */
+  [[nodiscard]] std::optional<StorePosition> PositionOf(
+    const std::string& aTopic) const
+  {
+    if (const auto at = m_positions.find(aTopic); at != m_positions.end()) {
+      return at->second;
+    }
+    const auto end = m_ends.find(aTopic);
+    return end == m_ends.end() ? std::nullopt
+                               : std::optional(StorePosition{ 0, end->second });
+  }
+
+  /** Returns the latest era of the store that the sender knows. */
+  [[nodiscard]] StoreEra Era() const noexcept
+  {
+    StoreEra era = 0;
+    for (const auto& [topic, position] : m_positions) {
+      era = std::max(era, position.m_era);
+    }
+    return era;
+  }
 
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leads,
@@ -75,7 +119,11 @@
                        m_daemons,
                        m_successors,
                        m_totals,
-                       m_reportedEnds)
+                       m_reportedEnds,
+                       m_positions,
+                       m_eraAgeMs,
+                       m_configVersion,
+                       m_isConfigInForce)
 };
 
 /** Request counts by key, sent to the leader. */
--- a/src/sapphirehook/gossip/topic_batch.cpp
+++ b/src/sapphirehook/gossip/topic_batch.cpp
@@ -110,10 +110,11 @@
   for (std::size_t part = 0; part < parts; ++part) {
     relays.push_back({ aBatch.m_topic,
                        aBatch.m_from,
-                       aBatch.m_next,
+                       aBatch.m_next.m_offset,
                        static_cast<unsigned>(part),
                        static_cast<unsigned>(parts),
-                       bytes.substr(part * kPartBytes, kPartBytes) });
+                       bytes.substr(part * kPartBytes, kPartBytes),
+                       aBatch.m_next.m_era });
   }
   return relays;
 }
@@ -131,7 +132,7 @@
   auto& partials = m_partials[{ aSender, aPart.m_topic }];
   const auto found =
     std::find_if(partials.begin(), partials.end(), [&](const Partial& aOne) {
-      return aOne.m_from == aPart.m_from && aOne.m_next == aPart.m_next &&
+      return aOne.m_from == aPart.m_from && aOne.m_next == aPart.End() &&
              aOne.m_count == aPart.m_parts;
     });
   if (found != partials.end()) {
@@ -141,7 +142,7 @@
     partials.pop_front();
   }
   return partials.emplace_back(
-    Partial{ aPart.m_from, aPart.m_next, aPart.m_parts, {} });
+    Partial{ aPart.m_from, aPart.End(), aPart.m_parts, {} });
 }
 
 std::optional<TopicBatch>
@@ -160,10 +161,11 @@
   for (const auto& [part, piece] : partial.m_parts) {
     bytes += piece;
   }
-  // This batch supersedes all batches that end at or before its end.
+  // This batch supersedes all batches that end at or before its end, and those
+  // of earlier eras.
   std::erase_if(
     m_partials[{ aSender, aPart.m_topic }],
-    [&](const Partial& aOne) { return aOne.m_next <= aPart.m_next; });
+    [&](const Partial& aOne) { return aOne.m_next <= aPart.End(); });
   const auto plain = Decompress(std::move(bytes));
   if (!plain) {
     return std::nullopt;
@@ -172,7 +174,7 @@
   if (!records.ok()) {
     return std::nullopt;
   }
-  TopicBatch batch{ aPart.m_topic, aPart.m_from, aPart.m_next, {} };
+  TopicBatch batch{ aPart.m_topic, aPart.m_from, aPart.End(), {} };
   for (auto& record : *records) {
     KeyedRecord decoded{ record.m_offset,
                          std::move(record.m_key),
@@ -188,7 +190,7 @@
 std::optional<PartialBatch>
 BatchAssembler::FindIncomplete(const std::string& aSender,
                                const std::string& aTopic,
-                               Offset aHave) const
+                               StorePosition aHave) const
 {
   const auto found = m_partials.find({ aSender, aTopic });
   if (found == m_partials.end()) {
@@ -199,7 +201,9 @@
     return aOne.m_count - aOne.m_parts.size();
   };
   for (const auto& partial : found->second) {
-    const bool follows = partial.m_from <= aHave && aHave < partial.m_next;
+    const bool follows = partial.m_next.m_era == aHave.m_era &&
+                         partial.m_from <= aHave.m_offset &&
+                         aHave < partial.m_next;
     if (follows && (mostComplete == nullptr ||
                     missing(partial) <= missing(*mostComplete))) {
       mostComplete = &partial;
--- a/src/sapphirehook/gossip/topic_batch.hpp
+++ b/src/sapphirehook/gossip/topic_batch.hpp
@@ -14,13 +14,14 @@
 
 namespace sapphirehook {
 
-/** The newest record of each key between two offsets of a topic. */
+/** The newest record of each key between two offsets of a topic, in one era of
+    the store. */
 struct TopicBatch
 {
   std::string m_topic;
   Offset m_from = 0;
-  /** Offset after the last record that was read. */
-  Offset m_next = 0;
+  /** Position after the last record that was read. */
+  StorePosition m_next;
   std::vector<KeyedRecord> m_records;
 };
 
@@ -34,8 +35,13 @@
   unsigned m_parts = 0;
   /** This part of the packed and compressed records. */
   std::string m_bytes;
+  /** Era of the store to which the offsets belong. */
+  StoreEra m_era = 0;
+
+  MSGPACK_DEFINE_ARRAY(m_topic, m_from, m_next, m_part, m_parts, m_bytes, m_era)
 
-  MSGPACK_DEFINE_ARRAY(m_topic, m_from, m_next, m_part, m_parts, m_bytes)
+  /** Returns the position after the last record. */
+  [[nodiscard]] StorePosition End() const noexcept { return { m_era, m_next }; }
 };
 
 /** Requests from a peer the records of a topic from an offset on, or the
@@ -49,15 +55,23 @@
       batch. */
   Offset m_next = 0;
   std::vector<unsigned> m_missing;
+  /** Era of the store to which the offsets belong. */
+  StoreEra m_era = 0;
+
+  MSGPACK_DEFINE_ARRAY(m_topic, m_have, m_next, m_missing, m_era)
 
-  MSGPACK_DEFINE_ARRAY(m_topic, m_have, m_next, m_missing)
+  /** Returns the position up to which the sender has all records. */
+  [[nodiscard]] StorePosition Have() const noexcept
+  {
+    return { m_era, m_have };
+  }
 };
 
 /** An incompletely received batch. */
 struct PartialBatch
 {
   Offset m_from = 0;
-  Offset m_next = 0;
+  StorePosition m_next;
   std::vector<unsigned> m_missing;
 };
 
@@ -83,19 +97,19 @@
                                               const TopicRelay& aPart);
 
   /** Returns the incomplete batch of a sender with the fewest missing parts
-      among the batches that continue a reader's records. aHave is the offset up
-      to which the reader has all records. Returns nothing if there is no such
-      batch. */
+      among the batches that continue a reader's records in the same era. aHave
+      is the position up to which the reader has all records. Returns nothing if
+      there is no such batch. */
   [[nodiscard]] std::optional<PartialBatch> FindIncomplete(
     const std::string& aSender,
     const std::string& aTopic,
-    Offset aHave) const;
+    StorePosition aHave) const;
 
 private:
   struct Partial
   {
     Offset m_from = 0;
-    Offset m_next = 0;
+    StorePosition m_next;
     unsigned m_count = 0;
     std::map<unsigned, std::string> m_parts;
   };
--- a/src/sapphirehook/gossip/topic_catch_up.cpp
+++ b/src/sapphirehook/gossip/topic_catch_up.cpp
@@ -37,7 +37,9 @@
 }
 
 void
-TopicCatchUp::OnPeerEnd(TimePoint aNow, const std::string& aPeer, Offset aEnd)
+TopicCatchUp::OnPeerEnd(TimePoint aNow,
+                        const std::string& aPeer,
+                        StorePosition aEnd)
 {
   auto& ahead = m_peersAhead[aPeer];
   ahead.m_end = aEnd;
@@ -57,7 +59,7 @@
 }
 
 std::optional<std::chrono::nanoseconds>
-TopicCatchUp::CheckPeers(TimePoint aNow, Offset aHave)
+TopicCatchUp::CheckPeers(TimePoint aNow, StorePosition aHave)
 {
   std::erase_if(m_peersAhead, [&](const auto& aOne) {
     return aOne.second.m_end <= aHave ||
@@ -76,10 +78,10 @@
   return std::nullopt;
 }
 
-Offset
+StorePosition
 TopicCatchUp::KnownEnd() const
 {
-  Offset end = 0;
+  StorePosition end;
   for (const auto& [peer, ahead] : m_peersAhead) {
     end = std::max(end, ahead.m_end);
   }
@@ -87,7 +89,7 @@
 }
 
 std::optional<CatchUpStep>
-TopicCatchUp::Next(TimePoint aNow, Offset aHave)
+TopicCatchUp::Next(TimePoint aNow, StorePosition aHave)
 {
   if (aNow < *m_behindSince + kUnsolicitedDelay ||
       aNow < m_partAt + kPartInterval) {
@@ -112,34 +114,34 @@
 }
 
 std::optional<CatchUpStep>
-TopicCatchUp::RequestMissingParts(Offset aHave)
+TopicCatchUp::RequestMissingParts(StorePosition aHave)
 {
   auto partial = m_batches.FindIncomplete(m_sender, m_topic, aHave);
   if (!partial || m_unansweredRequests >= kMaxUnansweredRequests) {
     return std::nullopt;
   }
-  return CatchUpStep{
-    m_sender, { m_topic, aHave, partial->m_next, std::move(partial->m_missing) }
-  };
+  return CatchUpStep{ m_sender,
+                      { m_topic,
+                        aHave.m_offset,
+                        partial->m_next.m_offset,
+                        std::move(partial->m_missing),
+                        aHave.m_era } };
 }
 
 /** Requests the records from the peer whose last request is the oldest. Among
     equals it selects the peer that has read furthest. */
 CatchUpStep
-TopicCatchUp::RequestFromPeer(TimePoint aNow, Offset aHave)
+TopicCatchUp::RequestFromPeer(TimePoint aNow, StorePosition aHave)
 {
-  const auto order = [](const auto& aOne) {
-    return std::tuple(aOne.second.m_askedAt,
-                      -static_cast<std::int64_t>(aOne.second.m_end));
-  };
-  const auto peer =
-    std::min_element(m_peersAhead.begin(),
-                     m_peersAhead.end(),
-                     [&](const auto& aLeft, const auto& aRight) {
-                       return order(aLeft) < order(aRight);
-                     });
+  const auto peer = std::min_element(
+    m_peersAhead.begin(),
+    m_peersAhead.end(),
+    [](const auto& aLeft, const auto& aRight) {
+      return std::tie(aLeft.second.m_askedAt, aRight.second.m_end) <
+             std::tie(aRight.second.m_askedAt, aLeft.second.m_end);
+    });
   peer->second.m_askedAt = aNow;
-  return { peer->first, { m_topic, aHave, 0, {} } };
+  return { peer->first, { m_topic, aHave.m_offset, 0, {}, aHave.m_era } };
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/gossip/topic_catch_up.hpp
+++ b/src/sapphirehook/gossip/topic_catch_up.hpp
@@ -28,8 +28,8 @@
 public:
   explicit TopicCatchUp(std::string aTopic);
 
-  /** Takes the offset up to which a peer has read the topic. */
-  void OnPeerEnd(TimePoint aNow, const std::string& aPeer, Offset aEnd);
+  /** Takes the position up to which a peer has read the topic. */
+  void OnPeerEnd(TimePoint aNow, const std::string& aPeer, StorePosition aEnd);
 
   /** Adds a received part. Returns the batch once it is complete. */
   [[nodiscard]] std::optional<TopicBatch> OnPart(TimePoint aNow,
@@ -40,14 +40,15 @@
       records before aHave. Returns how long this daemon was behind if it has
       just caught up. */
   std::optional<std::chrono::nanoseconds> CheckPeers(TimePoint aNow,
-                                                     Offset aHave);
+                                                     StorePosition aHave);
 
   /** Returns the next request, if one is due. BehindSince() has to have a
       value. */
-  [[nodiscard]] std::optional<CatchUpStep> Next(TimePoint aNow, Offset aHave);
+  [[nodiscard]] std::optional<CatchUpStep> Next(TimePoint aNow,
+                                                StorePosition aHave);
 
-  /** Returns the highest offset up to which a peer has read. */
-  [[nodiscard]] Offset KnownEnd() const;
+  /** Returns the highest position up to which a peer has read. */
+  [[nodiscard]] StorePosition KnownEnd() const;
 
   /** Returns since when a peer has been ahead, as of the last CheckPeers()
       call. */
@@ -59,13 +60,15 @@
 private:
   struct PeerAhead
   {
-    Offset m_end = 0;
+    StorePosition m_end;
     TimePoint m_reportedAt{};
     TimePoint m_askedAt{};
   };
 
-  [[nodiscard]] std::optional<CatchUpStep> RequestMissingParts(Offset aHave);
-  [[nodiscard]] CatchUpStep RequestFromPeer(TimePoint aNow, Offset aHave);
+  [[nodiscard]] std::optional<CatchUpStep> RequestMissingParts(
+    StorePosition aHave);
+  [[nodiscard]] CatchUpStep RequestFromPeer(TimePoint aNow,
+                                            StorePosition aHave);
 
   std::string m_topic;
   BatchAssembler m_batches;
--- a/src/sapphirehook/store/compacted_topic.hpp
+++ b/src/sapphirehook/store/compacted_topic.hpp
@@ -22,6 +22,9 @@
       call, removals before that offset are unknown. */
   void OnAllKeysKnown(Offset aEnd) noexcept;
 
+  /** Returns whether all keys that existed at some offset are known. */
+  [[nodiscard]] bool IsComplete() const noexcept { return m_isComplete; }
+
   /** Returns the existing keys that are not among aRecords. */
   [[nodiscard]] std::vector<std::string> KeysNotIn(
     const std::vector<KeyedRecord>& aRecords) const;
--- a/src/sapphirehook/store/keyed_record.hpp
+++ b/src/sapphirehook/store/keyed_record.hpp
@@ -37,6 +37,9 @@
   NoAnswer,
   /** The answer could not be parsed. */
   Malformed,
+  /** The store answered with an earlier era than one that is known. The answer
+      is not used. */
+  EarlierEra,
 };
 
 /** Returns the name of an answer in log lines. */
@@ -56,6 +59,8 @@
       return "no-answer";
     case StoreAnswer::Malformed:
       return "malformed";
+    case StoreAnswer::EarlierEra:
+      return "earlier-era";
   }
   return "unknown";
 }
@@ -77,11 +82,11 @@
   StoreEra m_era = 0;
 };
 
-/** The store's confirmation that a topic ended at an offset at a point in time:
-    a copy up to that offset was complete then. */
+/** The store's confirmation that a topic ended at a position at a point in
+    time: a copy up to that position was complete then. */
 struct EndConfirmation
 {
-  Offset m_end = 0;
+  StorePosition m_end;
   /** The time for which the end is confirmed. For a call that waited without
       receiving a record, this is the end of the wait. */
   TimePoint m_at{};
--- a/src/sapphirehook/store/outage_watch.cpp
+++ b/src/sapphirehook/store/outage_watch.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Entries that lapsed during an outage are written again within about 2 s of
-    its end if their writers are alive. */
+/** Entries that lapsed during an outage, or that the store lost in a restore,
+    are written again within about 2 s of its end if their writers are alive. */
 constexpr Millis kLapseWindow{ 2500 };
 
 } // namespace
@@ -46,7 +46,19 @@
 {
   const bool isLong = m_outageSince && aNow >= *m_outageSince + m_shortestLapse;
   return isLong ||
-         (m_longOutageEnded && aNow < *m_longOutageEnded + kLapseWindow);
+         (m_longOutageEnded && aNow < *m_longOutageEnded + kLapseWindow) ||
+         (m_restoredAt && aNow < *m_restoredAt + kLapseWindow);
+}
+
+TimePoint
+OutageWatch::EndedAt(TimePoint aNow) const noexcept
+{
+  const bool isLong = m_outageSince && aNow >= *m_outageSince + m_shortestLapse;
+  if (!isLong && m_restoredAt && aNow < *m_restoredAt + kLapseWindow) {
+    return m_longOutageEnded ? std::max(*m_restoredAt, *m_longOutageEnded)
+                             : *m_restoredAt;
+  }
+  return m_outageSince ? aNow : m_longOutageEnded.value_or(aNow);
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/store/outage_watch.hpp
+++ b/src/sapphirehook/store/outage_watch.hpp
@@ -33,15 +33,16 @@
       since it last served this daemon or a peer. */
   void OnTimeout(TimePoint aNow) noexcept;
 
+  /** Records that the store was restored from an older copy at a time. Entries
+      that are missing from the copy are written again by their owners. */
+  void OnRestored(TimePoint aAt) noexcept { m_restoredAt = aAt; }
+
   /** Returns whether an entry that is now found removed may have lapsed. */
   [[nodiscard]] bool MayHaveLapsed(TimePoint aNow) const noexcept;
 
-  /** Returns when the outage that MayHaveLapsed refers to ended, or aNow while
-      it lasts. */
-  [[nodiscard]] TimePoint EndedAt(TimePoint aNow) const noexcept
-  {
-    return m_outageSince ? aNow : m_longOutageEnded.value_or(aNow);
-  }
+  /** Returns when the outage or the restore that MayHaveLapsed refers to ended,
+      or aNow while the outage lasts. */
+  [[nodiscard]] TimePoint EndedAt(TimePoint aNow) const noexcept;
 
 private:
   Millis m_shortestLapse;
@@ -49,6 +50,8 @@
   std::optional<TimePoint> m_outageSince;
   /** End of the last outage in which entries may have lapsed. */
   std::optional<TimePoint> m_longOutageEnded;
+  /** When the store was last restored. */
+  std::optional<TimePoint> m_restoredAt;
 };
 
 } // namespace sapphirehook
--- a/src/sapphirehook/store/read_schedule.cpp
+++ b/src/sapphirehook/store/read_schedule.cpp
@@ -39,19 +39,23 @@
 
 void
 ReadSchedule::Confirmations::Add(const EndConfirmation& aConfirmation,
-                                 Offset aHave) noexcept
+                                 StorePosition aHave) noexcept
 {
+  if (aConfirmation.m_end.m_era < aHave.m_era) {
+    return; // the store may have been restored since
+  }
   if (aConfirmation.m_end <= aHave) {
     m_completeAt = std::max(m_completeAt, aConfirmation.m_at);
-  } else if (aConfirmation.m_at > m_pending.m_at) {
+  } else if (aConfirmation.m_end.m_era > m_pending.m_end.m_era ||
+             aConfirmation.m_at > m_pending.m_at) {
     m_pending = aConfirmation;
   }
 }
 
 void
-ReadSchedule::Confirmations::OnRead(Offset aHave) noexcept
+ReadSchedule::Confirmations::OnRead(StorePosition aHave) noexcept
 {
-  if (m_pending.m_end <= aHave) {
+  if (m_pending.m_end.m_era == aHave.m_era && m_pending.m_end <= aHave) {
     m_completeAt = std::max(m_completeAt, m_pending.m_at);
   }
 }
@@ -66,7 +70,7 @@
 void
 ReadSchedule::OnPeerConfirmation(const EndConfirmation& aConfirmation,
                                  bool aReadsBefore,
-                                 Offset aHave) noexcept
+                                 StorePosition aHave) noexcept
 {
   m_peers.Add(aConfirmation, aHave);
   if (aReadsBefore) {
@@ -75,7 +79,7 @@
 }
 
 void
-ReadSchedule::OnRead(Offset aHave) noexcept
+ReadSchedule::OnRead(StorePosition aHave) noexcept
 {
   m_peers.OnRead(aHave);
   m_precedingReaders.OnRead(aHave);
--- a/src/sapphirehook/store/read_schedule.hpp
+++ b/src/sapphirehook/store/read_schedule.hpp
@@ -42,14 +42,15 @@
   void OnOwnConfirmation(const EndConfirmation& aConfirmation) noexcept;
 
   /** Takes a confirmation that a peer received. aReadsBefore is whether the
-      peer precedes this daemon in the reading order. aHave is the offset up to
-      which this daemon has read. */
+      peer precedes this daemon in the reading order. aHave is the position up
+      to which this daemon has read. A confirmation of an earlier era is not
+      used. */
   void OnPeerConfirmation(const EndConfirmation& aConfirmation,
                           bool aReadsBefore,
-                          Offset aHave) noexcept;
+                          StorePosition aHave) noexcept;
 
-  /** Takes the offset up to which this daemon has read. */
-  void OnRead(Offset aHave) noexcept;
+  /** Takes the position up to which this daemon has read. */
+  void OnRead(StorePosition aHave) noexcept;
 
   /** Returns the decision for the current time and role. */
   [[nodiscard]] ReadDecision Next(TimePoint aNow,
@@ -67,8 +68,9 @@
     /** A confirmation that applies once this daemon has read up to its end. */
     EndConfirmation m_pending;
 
-    void Add(const EndConfirmation& aConfirmation, Offset aHave) noexcept;
-    void OnRead(Offset aHave) noexcept;
+    void Add(const EndConfirmation& aConfirmation,
+             StorePosition aHave) noexcept;
+    void OnRead(StorePosition aHave) noexcept;
   };
 
   /** Confirmations of all peers, and of the peers that precede this daemon in
--- a/src/sapphirehook/store/topic_reader.cpp
+++ b/src/sapphirehook/store/topic_reader.cpp
@@ -81,8 +81,52 @@
   Next(Millis(0));
 }
 
+void
+TopicReader::OnEra(StoreEra aEra)
+{
+  if (aEra <= m_era) {
+    return;
+  }
+  m_client.Abort();
+  BeginEra(aEra);
+  if (!m_paused) {
+    Next(Millis(0));
+  }
+}
+
+/** Discards what is valid only within an era. The keys stay known, so that the
+    ones that the store has lost can be reported as removed. */
+void
+TopicReader::BeginEra(StoreEra aEra)
+{
+  m_era = aEra;
+  if (m_events.m_onEra) {
+    m_events.m_onEra(aEra);
+  }
+  m_hasEarlierEra = m_hasEarlierEra || m_caughtUp;
+  for (auto& key : m_compacted.KeysNotIn({})) {
+    m_earlierKeys.insert(std::move(key));
+  }
+  m_compacted = {};
+  m_nextOffset = 0;
+  m_newestEnd = 0;
+  m_restoredEnd = 0;
+  m_listed.clear();
+  m_lastListedKey.clear();
+  m_readingNewest = true;
+}
+
+/** Returns whether a page has to be discarded because it is of an earlier era
+    than the present one. */
+bool
+TopicReader::IsEarlierEra(const KeyedPage& aPage) const noexcept
+{
+  return aPage.m_era < m_era && (aPage.m_answer == StoreAnswer::Ok ||
+                                 aPage.m_answer == StoreAnswer::Forgotten);
+}
+
 bool
-TopicReader::Refresh(Offset aKnownEnd)
+TopicReader::Refresh(StorePosition aKnownEnd)
 {
   const auto until = m_client.HasAnswerBegun()
                        ? m_client.LastBytesAt() + kAnswerIdleTimeout
@@ -91,9 +135,13 @@
     return false;
   }
   m_client.Abort();
+  if (aKnownEnd.m_era > m_era) {
+    BeginEra(aKnownEnd.m_era);
+  }
   m_readingNewest =
-    m_readingNewest || (aKnownEnd > m_nextOffset &&
-                        m_compacted.IsSmallerThan(aKnownEnd - m_nextOffset));
+    m_readingNewest ||
+    (aKnownEnd > Position() &&
+     m_compacted.IsSmallerThan(aKnownEnd.m_offset - m_nextOffset));
   Next(Millis(0));
   return true;
 }
@@ -136,10 +184,14 @@
 
 RelayOutcome
 TopicReader::Accept(Offset aFrom,
-                    Offset aNext,
+                    StorePosition aNext,
                     const std::vector<KeyedRecord>& aRecords)
 {
-  if (m_nextOffset >= aNext) {
+  if (aNext.m_era < m_era) {
+    return RelayOutcome::EarlierEra;
+  }
+  OnEra(aNext.m_era);
+  if (Position() >= aNext) {
     return RelayOutcome::Known;
   }
   if (!AcceptsRelays()) {
@@ -156,10 +208,13 @@
     m_client.Abort();
     Next(m_backoff.Next());
   }
-  const Offset known = std::exchange(m_nextOffset, aNext);
+  const Offset known = std::exchange(m_nextOffset, aNext.m_offset);
   if (aFrom == 0) {
-    RemoveUnlisted(aRecords, aNext - 1);
-    m_compacted.OnAllKeysKnown(aNext);
+    if (m_hasEarlierEra && !IsCurrent()) {
+      m_restoredEnd = aNext.m_offset;
+    }
+    RemoveUnlisted(aRecords, aNext.m_offset - 1);
+    m_compacted.OnAllKeysKnown(aNext.m_offset);
   }
   m_readingNewest = false;
   m_caughtUp = true;
@@ -198,6 +253,21 @@
 void
 TopicReader::OnNewest(const KeyedPage& aPage, const CallResult& aResult)
 {
+  if (IsEarlierEra(aPage)) {
+    m_lastListedKey.clear();
+    m_listed.clear();
+    OnReadFailed(StoreAnswer::EarlierEra, aResult);
+    return;
+  }
+  if (aPage.m_era > m_era) {
+    const bool isFirstPage = m_lastListedKey.empty();
+    BeginEra(aPage.m_era);
+    if (aPage.m_answer == StoreAnswer::Ok && !isFirstPage) {
+      // The pages before this one are of the earlier era.
+      Next(Millis(0));
+      return;
+    }
+  }
   if (aPage.m_answer != StoreAnswer::Ok) {
     m_lastListedKey.clear();
     m_listed.clear();
@@ -207,6 +277,9 @@
   ReportUnreadable(aPage);
   if (m_lastListedKey.empty()) {
     m_newestEnd = aPage.m_end;
+    if (m_hasEarlierEra && !IsCurrent()) {
+      m_restoredEnd = m_newestEnd;
+    }
   }
   for (const auto& record : aPage.m_records) {
     m_lastListedKey = record.m_key;
@@ -225,6 +298,7 @@
 {
   // A known key that is not listed was removed by a record that the store no
   // longer keeps.
+  const bool isFirstOfEra = m_hasEarlierEra && !IsCurrent();
   RemoveUnlisted(m_listed, m_newestEnd);
   m_compacted.OnAllKeysKnown(m_newestEnd);
   m_listed.clear();
@@ -237,6 +311,10 @@
   m_backoff.Reset();
   m_dependsOnRelays = false;
   ConfirmEnd(m_newestAskedAt, m_newestAskedAt);
+  if (isFirstOfEra && m_events.m_onBatch) {
+    // The other daemons need all keys, which no continuation contains.
+    m_events.m_onBatch(0, m_nextOffset, m_compacted.Since(0));
+  }
   Next(first ? std::max(m_times.m_afterNewest, m_times.m_gather)
              : m_times.m_gather);
 }
@@ -245,7 +323,7 @@
 TopicReader::ConfirmEnd(TimePoint aAt, TimePoint aAskedAt)
 {
   m_confirmedAt = std::max(m_confirmedAt, aAt);
-  m_events.m_onCaughtUp({ m_nextOffset, aAt, aAskedAt });
+  m_events.m_onCaughtUp({ Position(), aAt, aAskedAt });
 }
 
 /** Returns how long the next call waits. The time since the last confirmation
@@ -282,6 +360,18 @@
 void
 TopicReader::OnRead(const KeyedPage& aPage, const CallResult& aResult)
 {
+  if (IsEarlierEra(aPage)) {
+    OnReadFailed(StoreAnswer::EarlierEra, aResult);
+    return;
+  }
+  if (aPage.m_era > m_era) {
+    BeginEra(aPage.m_era);
+    if (aPage.m_answer == StoreAnswer::Ok) {
+      // The offset of the call means nothing in this era.
+      Next(Millis(0));
+      return;
+    }
+  }
   if (aPage.m_answer == StoreAnswer::Forgotten) {
     m_readingNewest = true;
     Next(Millis(0));
@@ -322,7 +412,13 @@
 TopicReader::RemoveUnlisted(const std::vector<KeyedRecord>& aListed,
                             Offset aOffset)
 {
+  for (const auto& record : aListed) {
+    m_earlierKeys.erase(record.m_key);
+  }
   for (const auto& key : m_compacted.KeysNotIn(aListed)) {
+    m_earlierKeys.insert(key);
+  }
+  for (const auto& key : std::exchange(m_earlierKeys, {})) {
     Deliver({ aOffset, key, std::nullopt });
   }
 }
--- a/src/sapphirehook/store/topic_reader.hpp
+++ b/src/sapphirehook/store/topic_reader.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,8 @@
   Known,
   /** The reader lacks records before these. */
   Gap,
+  /** Refused: the records are of an earlier era of the store. */
+  EarlierEra,
   /** Refused: the reader successfully reads the newest records from the
       store. */
   ReadingNewest,
@@ -50,6 +53,8 @@
       return "known";
     case RelayOutcome::Gap:
       return "gap";
+    case RelayOutcome::EarlierEra:
+      return "earlier-era";
     case RelayOutcome::ReadingNewest:
       return "reading-newest";
     case RelayOutcome::Reading:
@@ -64,7 +69,8 @@
   /** A key has a new value or was removed. */
   std::function<void(const KeyedRecord&)> m_onRecord;
   /** A read returned all records between two offsets. aRecords contains the
-      newest one of each key. Optional. */
+      newest one of each key. After the store was restored, the first batch
+      begins at offset 0 and contains all keys. Optional. */
   std::function<
     void(Offset aFrom, Offset aNext, const std::vector<KeyedRecord>& aRecords)>
     m_onBatch;
@@ -74,6 +80,9 @@
   std::function<void(const ReadFailure&)> m_onFailure;
   /** Records were skipped because they could not be parsed. Optional. */
   std::function<void(std::size_t aRecords)> m_onUnreadable = {};
+  /** The reader has learned of a later era of the store. Called before any
+      record of that era is delivered. Optional. */
+  std::function<void(StoreEra aEra)> m_onEra = {};
 };
 
 /** Wait and pause durations of a reader's calls. */
@@ -93,7 +102,9 @@
 };
 
 /** Follows one keyed topic. Reads the newest record of each key first, then the
-    records as they are appended. */
+    records as they are appended. Offsets are valid within one era of the store.
+    When the reader learns of a later era, it reads the newest records again and
+    reports the keys that the store has lost as removed. */
 class TopicReader
 {
 public:
@@ -117,7 +128,13 @@
       in flight can still arrive. Reads the newest record of each key instead of
       the history if that takes fewer bytes up to aKnownEnd, the known end of
       the topic. */
-  bool Refresh(Offset aKnownEnd = 0);
+  bool Refresh(StorePosition aKnownEnd = {});
+
+  /** Takes an era of the store that this reader has not necessarily seen
+      itself. If it is later than the known one, discards the call in flight and
+      all offsets, and reads the newest records again unless the reader is
+      paused. */
+  void OnEra(StoreEra aEra);
 
   /** Replaces the call in flight by a call without a wait, which shows whether
       the store answers. */
@@ -133,13 +150,14 @@
       wait. */
   void Resume();
 
-  /** Accepts the newest records between two offsets, relayed by another daemon,
-      if they continue the delivered records and AcceptsRelays() is true. If
-      aFrom is 0, the records are those of all existing keys, and all other
-      known keys are removed. Aborts the call in flight, which would return the
-      same records. */
+  /** Accepts the newest records between two offsets of the era of aNext,
+      relayed by another daemon, if they continue the delivered records and
+      AcceptsRelays() is true. If aFrom is 0, the records are those of all
+      existing keys, and all other known keys are removed. The first records of
+      a later era have to be such a whole set. Aborts the call in flight, which
+      would return the same records. */
   RelayOutcome Accept(Offset aFrom,
-                      Offset aNext,
+                      StorePosition aNext,
                       const std::vector<KeyedRecord>& aRecords);
 
   /** Sets the durations, beginning with the next call. */
@@ -168,14 +186,36 @@
     return m_compacted;
   }
 
-  /** Returns the offset after the last delivered record. */
+  /** Returns the offset after the last delivered record of the present era. */
   [[nodiscard]] Offset End() const noexcept { return m_nextOffset; }
 
+  /** Returns the position after the last delivered record. */
+  [[nodiscard]] StorePosition Position() const noexcept
+  {
+    return { m_era, m_nextOffset };
+  }
+
+  /** Returns the latest known era of the store. */
+  [[nodiscard]] StoreEra Era() const noexcept { return m_era; }
+
+  /** Returns whether all keys that exist in the present era are known. */
+  [[nodiscard]] bool IsCurrent() const noexcept
+  {
+    return m_compacted.IsComplete();
+  }
+
+  /** Returns the offset before which records of the present era may come from
+      the copy that the store was restored from. 0 if the reader has delivered
+      no record of an earlier era. */
+  [[nodiscard]] Offset RestoredEnd() const noexcept { return m_restoredEnd; }
+
   /** Returns whether the newest records have been read or accepted at least
       once. */
   [[nodiscard]] bool IsCaughtUp() const noexcept { return m_caughtUp; }
 
 private:
+  void BeginEra(StoreEra aEra);
+  [[nodiscard]] bool IsEarlierEra(const KeyedPage& aPage) const noexcept;
   void ReadNewest();
   void OnNewest(const KeyedPage& aPage, const CallResult& aResult);
   void ReadNextRecords();
@@ -203,6 +243,12 @@
   /** Whether the last call failed or does not return the available records. */
   bool m_dependsOnRelays = false;
   bool m_readingNewest = true;
+  StoreEra m_era = 0;
+  /** Keys that existed in earlier eras, until the keys of the present era are
+      known. */
+  std::set<std::string> m_earlierKeys;
+  bool m_hasEarlierEra = false;
+  Offset m_restoredEnd = 0;
   Offset m_nextOffset = 0;
   Offset m_newestEnd = 0;
   std::string m_lastListedKey;
--- a/test/sapphirehook/discovery/endpoint_directory.cpp
+++ b/test/sapphirehook/discovery/endpoint_directory.cpp
@@ -94,3 +94,64 @@
     CHECK_FALSE(Usable(directory, 10));
   }
 }
+
+TEST_CASE("a removed endpoint that a restored store lists again gets no work "
+          "before its owner has confirmed the entry",
+          "[discovery]")
+{
+  // Guards against requests to an endpoint that has left: the copy that the
+  // store was restored from still contains its entry.
+  EndpointDirectory directory(Millis(1600));
+  directory.OnRecord(At(0), Record(1, false));
+  directory.OnRemoved(At(100), "e", std::nullopt);
+  CHECK(directory.OnRecord(At(1000), Record(1, false), At(3000)));
+  CHECK_FALSE(Usable(directory, 1000));
+  SECTION("its entry lapses")
+  {
+    directory.OnRemoved(At(2500), "e", At(1000));
+    directory.ConfirmListed(At(3000));
+    CHECK_FALSE(Usable(directory, 3000));
+  }
+  SECTION("its owner has renewed the entry")
+  {
+    directory.ConfirmListed(At(2999));
+    CHECK_FALSE(Usable(directory, 2999));
+    directory.ConfirmListed(At(3000));
+    CHECK(Usable(directory, 3000));
+  }
+  SECTION("its owner writes it again in the new era")
+  {
+    directory.OnRecord(At(1500), Record(1, false));
+    CHECK(Usable(directory, 1500));
+  }
+  SECTION("a later incarnation writes an entry before the store is read")
+  {
+    directory.OnRecord(At(1500), Record(2, false), At(3000));
+    CHECK(Usable(directory, 1500));
+  }
+  SECTION("it drains in the meantime")
+  {
+    directory.OnRecord(At(1200), Record(1, true), At(3000));
+    directory.ConfirmListed(At(3000));
+    CHECK_FALSE(Usable(directory, 3000));
+  }
+  SECTION("the store is restored again")
+  {
+    directory.OnRecord(At(1800), Record(1, false), At(3800));
+    directory.ConfirmListed(At(3000));
+    CHECK_FALSE(Usable(directory, 3000));
+  }
+}
+
+TEST_CASE("an endpoint that has drained stays so after a restore",
+          "[discovery]")
+{
+  // Guards against an older record of the same incarnation in the copy.
+  EndpointDirectory directory(Millis(1600));
+  directory.OnRecord(At(0), Record(1, true));
+  directory.OnRecord(At(100), Record(1, false), At(3000));
+  CHECK_FALSE(Usable(directory, 100));
+  directory.OnRemoved(At(200), "e", At(100));
+  directory.OnRecord(At(300), Record(1, false));
+  CHECK_FALSE(Usable(directory, 300));
+}
--- a/test/sapphirehook/gossip/topic_batch.cpp
+++ b/test/sapphirehook/gossip/topic_batch.cpp
@@ -19,7 +19,7 @@
   }
   return { "t",
            10,
-           14,
+           { 0, 14 },
            { { 11, "a", value }, { 12, "b", std::nullopt }, { 13, "c", "" } } };
 }
 
@@ -65,7 +65,7 @@
 
 TEST_CASE("text is relayed in few datagrams", "[gossip]")
 {
-  TopicBatch batch{ "t", 0, 1, {} };
+  TopicBatch batch{ "t", 0, { 0, 1 }, {} };
   std::string value;
   for (int route = 0; route < 110; ++route) {
     value += R"({"resource-kind":"routes","metadata":{"name":"r)" +
@@ -125,19 +125,46 @@
   const auto parts = SplitBatch(LargeBatch(5000));
   REQUIRE(parts.size() > 3);
   BatchAssembler assembler;
-  CHECK_FALSE(assembler.FindIncomplete("s", "t", 12).has_value());
+  CHECK_FALSE(assembler.FindIncomplete("s", "t", { 0, 12 }).has_value());
   for (std::size_t i = 0; i < parts.size(); ++i) {
     if (i != 1 && i != 3) {
       CHECK_FALSE(assembler.Add("s", parts[i]).has_value());
     }
   }
-  CHECK_FALSE(assembler.FindIncomplete("s", "t", 14).has_value());
-  CHECK_FALSE(assembler.FindIncomplete("s", "t", 9).has_value());
-  const auto begun = assembler.FindIncomplete("s", "t", 12);
+  CHECK_FALSE(assembler.FindIncomplete("s", "t", { 0, 14 }).has_value());
+  CHECK_FALSE(assembler.FindIncomplete("s", "t", { 0, 9 }).has_value());
+  const auto begun = assembler.FindIncomplete("s", "t", { 0, 12 });
   REQUIRE(begun.has_value());
   CHECK(begun->m_missing == std::vector<unsigned>{ 1, 3 });
-  CHECK(begun->m_next == 14);
+  CHECK(begun->m_next == StorePosition{ 0, 14 });
   CHECK_FALSE(assembler.Add("s", parts[1]).has_value());
   CHECK(assembler.Add("s", parts[3]).has_value());
-  CHECK_FALSE(assembler.FindIncomplete("s", "t", 12).has_value());
+  CHECK_FALSE(assembler.FindIncomplete("s", "t", { 0, 12 }).has_value());
+}
+
+TEST_CASE("the parts of two eras are not mixed", "[gossip]")
+{
+  // Guards against records of an earlier era in a batch of the present one: a
+  // restored store gives the same offsets out again.
+  auto batch = LargeBatch(5000);
+  batch.m_next.m_era = 1;
+  const auto earlier = SplitBatch(batch);
+  batch.m_next.m_era = 2;
+  batch.m_records[0].m_value = "restored" + *batch.m_records[0].m_value;
+  const auto later = SplitBatch(batch);
+  REQUIRE(earlier.size() == later.size());
+  BatchAssembler assembler;
+  CHECK_FALSE(assembler.Add("s", earlier[0]).has_value());
+  for (std::size_t i = 1; i < later.size(); ++i) {
+    CHECK_FALSE(assembler.Add("s", later[i]).has_value());
+  }
+  CHECK_FALSE(assembler.FindIncomplete("s", "t", { 3, 12 }).has_value());
+  const auto begun = assembler.FindIncomplete("s", "t", { 2, 12 });
+  REQUIRE(begun.has_value());
+  CHECK(begun->m_missing == std::vector<unsigned>{ 0 });
+  const auto whole = assembler.Add("s", later[0]);
+  REQUIRE(whole.has_value());
+  CheckSame(batch, *whole);
+  // The later era supersedes what was begun of the earlier one.
+  CHECK_FALSE(assembler.FindIncomplete("s", "t", { 1, 12 }).has_value());
 }
--- a/test/sapphirehook/gossip/topic_catch_up.cpp
+++ b/test/sapphirehook/gossip/topic_catch_up.cpp
@@ -23,7 +23,7 @@
   for (int i = 0; i < 28'000; ++i) {
     value += static_cast<char>(random() % 256);
   }
-  return SplitBatch({ "t", 0, aNext, { { aNext - 1, "k", value } } });
+  return SplitBatch({ "t", 0, { 0, aNext }, { { aNext - 1, "k", value } } });
 }
 
 /** Follows a topic in virtual time with the requests that TopicCatchUp
@@ -34,8 +34,8 @@
   /** Checks the peers and returns the next request, if one is due. */
   std::optional<CatchUpStep> Step(int aAt)
   {
-    static_cast<void>(m_catchUp.CheckPeers(At(aAt), m_have));
-    return m_catchUp.BehindSince() ? m_catchUp.Next(At(aAt), m_have)
+    static_cast<void>(m_catchUp.CheckPeers(At(aAt), { 0, m_have }));
+    return m_catchUp.BehindSince() ? m_catchUp.Next(At(aAt), { 0, m_have })
                                    : std::nullopt;
   }
 
@@ -43,7 +43,7 @@
   {
     const auto batch = m_catchUp.OnPart(At(aAt), aSender, aPart);
     if (batch && batch->m_from <= m_have) {
-      m_have = std::max(m_have, batch->m_next);
+      m_have = std::max(m_have, batch->m_next.m_offset);
     }
   }
 
@@ -59,10 +59,10 @@
   "[gossip]")
 {
   Follower follower;
-  follower.m_catchUp.OnPeerEnd(At(0), "leader", 2);
+  follower.m_catchUp.OnPeerEnd(At(0), "leader", { 0, 2 });
   CHECK_FALSE(follower.Step(0).has_value());
   CHECK_FALSE(follower.m_catchUp.BehindSince().has_value());
-  follower.m_catchUp.OnPeerEnd(At(150), "leader", 3);
+  follower.m_catchUp.OnPeerEnd(At(150), "leader", { 0, 3 });
   CHECK_FALSE(follower.Step(150).has_value());
   const auto step = follower.Step(260);
   REQUIRE(step.has_value());
@@ -70,9 +70,9 @@
   CHECK(step->m_request.m_topic == "t");
   CHECK(step->m_request.m_have == 2);
   CHECK(step->m_request.m_missing.empty());
-  CHECK(follower.m_catchUp.KnownEnd() == 3);
+  CHECK(follower.m_catchUp.KnownEnd() == StorePosition{ 0, 3 });
   follower.m_have = 3;
-  CHECK(follower.m_catchUp.CheckPeers(At(300), 3) == Millis(150));
+  CHECK(follower.m_catchUp.CheckPeers(At(300), { 0, 3 }) == Millis(150));
   CHECK_FALSE(follower.m_catchUp.BehindSince().has_value());
 }
 
@@ -81,7 +81,7 @@
   Follower follower;
   const auto parts = BatchParts(3);
   REQUIRE(parts.size() > 20);
-  follower.m_catchUp.OnPeerEnd(At(0), "leader", 3);
+  follower.m_catchUp.OnPeerEnd(At(0), "leader", { 0, 3 });
   CHECK_FALSE(follower.Step(0).has_value());
   for (std::size_t i = 0; i < parts.size(); ++i) {
     if (i != 4 && i != 17) {
@@ -108,7 +108,7 @@
   std::vector<std::pair<int, std::string>> asked;
   for (int at = 0; at < 4000; at += 10) {
     for (const auto* peer : { "a", "b", "c" }) {
-      follower.m_catchUp.OnPeerEnd(At(at), peer, 9);
+      follower.m_catchUp.OnPeerEnd(At(at), peer, { 0, 9 });
     }
     if (const auto step = follower.Step(at)) {
       asked.emplace_back(at, step->m_peer);
@@ -126,7 +126,7 @@
 TEST_CASE("a peer that has stopped reporting receives no requests", "[gossip]")
 {
   Follower follower;
-  follower.m_catchUp.OnPeerEnd(At(0), "gone", 9);
+  follower.m_catchUp.OnPeerEnd(At(0), "gone", { 0, 9 });
   CHECK_FALSE(follower.Step(0).has_value());
   CHECK(follower.Step(200).has_value());
   CHECK_FALSE(follower.Step(1200).has_value());
@@ -171,7 +171,7 @@
         }
       }
       if (at % kHeartbeatInterval == 0 && arrives()) {
-        follower.m_catchUp.OnPeerEnd(At(at), "leader", end);
+        follower.m_catchUp.OnPeerEnd(At(at), "leader", { 0, end });
       }
       // The gateway checks its peers every 50 ms.
       const auto step = at % 50 == 0 ? follower.Step(at) : std::nullopt;
@@ -198,3 +198,22 @@
     CHECK(worst <= kBound);
   }
 }
+
+TEST_CASE("a peer of a later era is ahead and one of an earlier era is not",
+          "[gossip]")
+{
+  // Guards against a host that stays in an earlier era because its offset is
+  // higher than those of the restored store.
+  TopicCatchUp catchUp("t");
+  catchUp.OnPeerEnd(At(0), "behind", { 1, 900 });
+  catchUp.OnPeerEnd(At(0), "restored", { 2, 5 });
+  static_cast<void>(catchUp.CheckPeers(At(0), { 1, 900 }));
+  REQUIRE(catchUp.BehindSince().has_value());
+  CHECK(catchUp.KnownEnd() == StorePosition{ 2, 5 });
+  const auto step = catchUp.Next(At(150), { 1, 900 });
+  REQUIRE(step.has_value());
+  CHECK(step->m_peer == "restored");
+  CHECK(step->m_request.Have() == StorePosition{ 1, 900 });
+  static_cast<void>(catchUp.CheckPeers(At(200), { 2, 5 }));
+  CHECK_FALSE(catchUp.BehindSince().has_value());
+}
--- a/test/sapphirehook/store/outage_watch.cpp
+++ b/test/sapphirehook/store/outage_watch.cpp
@@ -74,6 +74,22 @@
   CHECK(watch.MayHaveLapsed(At(9800)));
 }
 
+TEST_CASE("entries may be missing for a while after the store was restored",
+          "[store]")
+{
+  // Guards against endpoints that lose their work because the copy that the
+  // store was restored from is older than their entries.
+  OutageWatch watch(kShortestLapse);
+  watch.OnServed(At(1000));
+  watch.OnRefused(At(1100));
+  watch.OnServed(At(1400)); // too short for entries to lapse
+  CHECK_FALSE(watch.MayHaveLapsed(At(1410)));
+  watch.OnRestored(At(1400));
+  CHECK(watch.MayHaveLapsed(At(3800)));
+  CHECK(watch.EndedAt(At(3800)) == At(1400));
+  CHECK_FALSE(watch.MayHaveLapsed(At(3900)));
+}
+
 TEST_CASE("the wait for lapsed entries begins at the end of the outage",
           "[store]")
 {
--- a/test/sapphirehook/store/read_schedule.cpp
+++ b/test/sapphirehook/store/read_schedule.cpp
@@ -26,8 +26,8 @@
 ConfirmedByLeader(const ReaderRole& aRole)
 {
   ReadSchedule schedule;
-  schedule.OnOwnConfirmation({ 7, kStart - Millis(10'000), {} });
-  schedule.OnPeerConfirmation({ 7, kStart, {} }, true, 7);
+  schedule.OnOwnConfirmation({ { 0, 7 }, kStart - Millis(10'000), {} });
+  schedule.OnPeerConfirmation({ { 0, 7 }, kStart, {} }, true, { 0, 7 });
   static_cast<void>(schedule.Next(kStart, aRole));
   return schedule;
 }
@@ -67,9 +67,9 @@
   const auto followsAfter = [](const ReaderRole& aRole, Millis aTime) {
     ReadSchedule schedule;
     REQUIRE(schedule.Next(kStart, aRole).m_followsStore);
-    schedule.OnOwnConfirmation({ 10, kStart + Millis(20), kStart });
+    schedule.OnOwnConfirmation({ { 0, 10 }, kStart + Millis(20), kStart });
     schedule.OnPeerConfirmation(
-      { 10, kStart + aTime - Millis(100), {} }, true, 10);
+      { { 0, 10 }, kStart + aTime - Millis(100), {} }, true, { 0, 10 });
     return schedule.Next(kStart + aTime, aRole).m_followsStore;
   };
   CHECK_FALSE(followsAfter(kOther, Millis(150)));
@@ -81,7 +81,7 @@
 {
   auto schedule = ConfirmedByLeader(kOther);
   const TimePoint read = kStart + Millis(1000);
-  schedule.OnOwnConfirmation({ 7, read, {} });
+  schedule.OnOwnConfirmation({ { 0, 7 }, read, {} });
   CHECK_FALSE(schedule.Next(kStart + Millis(1500), kOther).m_followsStore);
   CHECK(schedule.Next(read + Millis(1500), kOther).m_followsStore);
 }
@@ -92,29 +92,51 @@
   "[store]")
 {
   auto schedule = ConfirmedByLeader(kOther);
-  schedule.OnPeerConfirmation({ 9, kStart + Millis(1400), {} }, true, 7);
+  schedule.OnPeerConfirmation(
+    { { 0, 9 }, kStart + Millis(1400), {} }, true, { 0, 7 });
   CHECK(schedule.CompleteAt() == kStart);
-  schedule.OnRead(8);
+  schedule.OnRead({ 0, 8 });
   CHECK(schedule.CompleteAt() == kStart);
-  schedule.OnRead(9);
+  schedule.OnRead({ 0, 9 });
   CHECK(schedule.CompleteAt() == kStart + Millis(1400));
   CHECK_FALSE(schedule.Next(kStart + Millis(1500), kOther).m_followsStore);
 }
 
+TEST_CASE("a confirmation of an earlier era is not used", "[store]")
+{
+  // Guards against a copy that counts as complete although the store was
+  // restored: the offset of the earlier era is as high as the present one.
+  auto schedule = ConfirmedByLeader(kOther);
+  schedule.OnRead({ 2, 7 });
+  schedule.OnPeerConfirmation(
+    { { 1, 7 }, kStart + Millis(900), {} }, true, { 2, 7 });
+  CHECK(schedule.CompleteAt() == kStart);
+  // A confirmation of a later era waits until the daemon has read that far in
+  // it, and replaces a newer one of the earlier era.
+  schedule.OnPeerConfirmation(
+    { { 2, 9 }, kStart + Millis(1000), {} }, true, { 2, 7 });
+  schedule.OnPeerConfirmation(
+    { { 3, 4 }, kStart + Millis(800), {} }, true, { 2, 7 });
+  schedule.OnRead({ 3, 3 });
+  CHECK(schedule.CompleteAt() == kStart);
+  schedule.OnRead({ 3, 4 });
+  CHECK(schedule.CompleteAt() == kStart + Millis(800));
+}
+
 TEST_CASE("successors do not wait for each other", "[store]")
 {
   auto first = ConfirmedByLeader(Successor(0));
   const TimePoint late = kStart + Millis(3000);
   REQUIRE(first.Next(late, Successor(0)).m_followsStore);
   // The second successor reads too, and the first one continues.
-  first.OnPeerConfirmation({ 7, late, {} }, false, 7);
+  first.OnPeerConfirmation({ { 0, 7 }, late, {} }, false, { 0, 7 });
   CHECK(first.Next(late + Millis(100), Successor(0)).m_followsStore);
   auto second = ConfirmedByLeader(Successor(1));
   REQUIRE(second.Next(late, Successor(1)).m_followsStore);
   TimePoint now = late;
   for (int i = 0; i < 10; ++i) {
     now += kConfirmationInterval;
-    second.OnPeerConfirmation({ 7, now, {} }, true, 7);
+    second.OnPeerConfirmation({ { 0, 7 }, now, {} }, true, { 0, 7 });
     static_cast<void>(second.Next(now, Successor(1)));
   }
   CHECK_FALSE(second.Next(now, Successor(1)).m_followsStore);
@@ -133,7 +155,7 @@
     , m_daemons(aDaemons)
   {
     for (auto& one : m_daemons) {
-      one.m_schedule.OnOwnConfirmation({ 0, m_now, {} });
+      one.m_schedule.OnOwnConfirmation({ { 0, 0 }, m_now, {} });
     }
   }
 
@@ -157,7 +179,7 @@
                        m_now >= one.m_calledAt + kConfirmationInterval;
       if (due) {
         one.m_calledAt = m_now;
-        one.m_confirmation = { m_end, m_now, {} };
+        one.m_confirmation = { { 0, m_end }, m_now, {} };
         Deliver(one, m_end);
         one.m_schedule.OnOwnConfirmation(one.m_confirmation);
         if (role.m_leads || role.m_successorIndex) {
@@ -224,7 +246,7 @@
   static void Deliver(Daemon& aOne, Offset aEnd)
   {
     aOne.m_have = std::max(aOne.m_have, aEnd);
-    aOne.m_schedule.OnRead(aOne.m_have);
+    aOne.m_schedule.OnRead({ 0, aOne.m_have });
   }
 
   void Relay(Offset aEnd)
@@ -245,7 +267,7 @@
       }
       for (std::size_t k = 0; k < m_daemons.size(); ++k) {
         m_daemons[k].m_schedule.OnPeerConfirmation(
-          from.m_confirmation, i < k, m_daemons[k].m_have);
+          from.m_confirmation, i < k, { 0, m_daemons[k].m_have });
       }
     }
   }
--- a/test/sapphirehook/store/topic_reader.cpp
+++ b/test/sapphirehook/store/topic_reader.cpp
@@ -186,23 +186,23 @@
   const auto asked = fixture.m_store.m_targets.size();
   SECTION("accepts a batch that continues its records")
   {
-    CHECK(fixture.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+    CHECK(fixture.m_reader.Accept(5, { 0, 7 }, { { 6, "b", "x" } }) ==
           RelayOutcome::Taken);
     CHECK(fixture.m_reader.End() == 7);
     CHECK(fixture.m_delivered.back() == "b=x");
   }
   SECTION("delivers only the new part of an overlapping batch")
   {
-    CHECK(
-      fixture.m_reader.Accept(3, 7, { { 4, "a", "old" }, { 6, "b", "x" } }) ==
-      RelayOutcome::Taken);
+    CHECK(fixture.m_reader.Accept(
+            3, { 0, 7 }, { { 4, "a", "old" }, { 6, "b", "x" } }) ==
+          RelayOutcome::Taken);
     CHECK(fixture.m_delivered == std::vector<std::string>{ "a=1", "b=x" });
   }
   SECTION("rejects a batch after a gap and a batch of known records")
   {
-    CHECK(fixture.m_reader.Accept(6, 7, { { 6, "b", "x" } }) ==
+    CHECK(fixture.m_reader.Accept(6, { 0, 7 }, { { 6, "b", "x" } }) ==
           RelayOutcome::Gap);
-    CHECK(fixture.m_reader.Accept(2, 5, { { 4, "a", "old" } }) ==
+    CHECK(fixture.m_reader.Accept(2, { 0, 5 }, { { 4, "a", "old" } }) ==
           RelayOutcome::Known);
     CHECK(fixture.m_reader.End() == 5);
   }
@@ -247,7 +247,7 @@
     return std::count_if(fixture.m_confirmations.begin(),
                          fixture.m_confirmations.end(),
                          [](const EndConfirmation& aConfirmation) {
-                           CHECK(aConfirmation.m_end == 5);
+                           CHECK(aConfirmation.m_end.m_offset == 5);
                            CHECK(aConfirmation.m_at <=
                                  aConfirmation.m_askedAt + Millis(100));
                            return aConfirmation.m_at > aConfirmation.m_askedAt;
@@ -338,7 +338,7 @@
   fixture.RunFor(Millis(100));
   // While the reader follows the topic in the store, its own reads return the
   // records.
-  CHECK(fixture.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+  CHECK(fixture.m_reader.Accept(5, { 0, 7 }, { { 6, "b", "x" } }) ==
         RelayOutcome::Reading);
   fixture.m_store.m_answer = [](const std::string&) {
     return std::optional<std::string>("not a page");
@@ -346,7 +346,7 @@
   fixture.m_reader.Probe();
   fixture.RunFor(Millis(100));
   REQUIRE(fixture.m_failures > 0);
-  CHECK(fixture.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+  CHECK(fixture.m_reader.Accept(5, { 0, 7 }, { { 6, "b", "x" } }) ==
         RelayOutcome::Taken);
   CHECK(fixture.m_delivered.back() == "b=x");
   // Once the store serves the reader again, the reader continues after the
@@ -361,7 +361,7 @@
   REQUIRE_FALSE(fixture.m_store.m_targets.empty());
   CHECK(fixture.m_store.m_targets.front().find("7") != std::string::npos);
   CHECK(fixture.m_delivered.back() == "c=1");
-  CHECK(fixture.m_reader.Accept(8, 9, { { 8, "d", "x" } }) !=
+  CHECK(fixture.m_reader.Accept(8, { 0, 9 }, { { 8, "d", "x" } }) !=
         RelayOutcome::Taken);
 }
 
@@ -401,7 +401,7 @@
   fixture.RunFor(Millis(100));
   CHECK_FALSE(fixture.m_reader.AcceptsRelays());
   fixture.m_reader.DependOnRelays();
-  CHECK(fixture.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+  CHECK(fixture.m_reader.Accept(5, { 0, 7 }, { { 6, "b", "x" } }) ==
         RelayOutcome::Taken);
   CHECK(fixture.m_failures == 0);
   // After a successful call the reader follows the topic in the store again.
@@ -421,9 +421,9 @@
   fixture.m_reader.Start();
   fixture.RunFor(Millis(100));
   CHECK_FALSE(fixture.m_reader.IsCaughtUp());
-  CHECK(fixture.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+  CHECK(fixture.m_reader.Accept(5, { 0, 7 }, { { 6, "b", "x" } }) ==
         RelayOutcome::Gap);
-  CHECK(fixture.m_reader.Accept(0, 7, { { 6, "b", "x" } }) ==
+  CHECK(fixture.m_reader.Accept(0, { 0, 7 }, { { 6, "b", "x" } }) ==
         RelayOutcome::Taken);
   CHECK(fixture.m_reader.IsCaughtUp());
   CHECK(fixture.m_reader.End() == 7);
@@ -435,7 +435,7 @@
   fixture.m_reader.Start();
   fixture.RunFor(Millis(100));
   fixture.m_reader.Pause();
-  CHECK(fixture.m_reader.Accept(0, 9, { { 8, "b", "x" } }) ==
+  CHECK(fixture.m_reader.Accept(0, { 0, 9 }, { { 8, "b", "x" } }) ==
         RelayOutcome::Taken);
   CHECK(fixture.m_delivered == std::vector<std::string>{ "a=1", "a=-", "b=x" });
   CHECK(fixture.m_reader.Compacted().Since(0).size() == 1);
@@ -457,11 +457,11 @@
                          });
   };
   const auto before = newest();
-  REQUIRE(fixture.m_reader.Refresh(6));
+  REQUIRE(fixture.m_reader.Refresh({ 0, 6 }));
   fixture.RunFor(Millis(50));
   CHECK(newest() == before);
   fixture.RunFor(Millis(700));
-  REQUIRE(fixture.m_reader.Refresh(8));
+  REQUIRE(fixture.m_reader.Refresh({ 0, 8 }));
   fixture.RunFor(Millis(50));
   CHECK(newest() == before + 1);
 }
@@ -474,7 +474,7 @@
   fixture.m_reader.Pause();
   REQUIRE(fixture.m_reader.Refresh());
   fixture.RunFor(Millis(20)); // the call is in flight
-  CHECK(fixture.m_reader.Accept(5, 7, { { 6, "b", "x" } }) ==
+  CHECK(fixture.m_reader.Accept(5, { 0, 7 }, { { 6, "b", "x" } }) ==
         RelayOutcome::Taken);
   CHECK(fixture.m_delivered.back() == "b=x");
 }
