Soak: a gateway learns of a restore from its peers only

All gateways reached the store during the restore, so none depended on what its peers know. One gateway is now cut off from the store until a later change has to be in force on it.

--- a/soak/inject.cpp
+++ b/soak/inject.cpp
@@ -28,6 +28,11 @@
 constexpr Millis kChangeLead{ 150 };
 /** Time after a restore by which all lost records have been written again. */
 constexpr Millis kWrittenAgain{ 1500 };
+/** Time from then until the second change, which is beyond the time for which
+   the checker excuses a fault, and for which a gateway stays cut off from the
+   store after that change. */
+constexpr Millis kSecondChange{ 3500 };
+constexpr Millis kCutAfterChange{ 3500 };
 
 } // namespace
 
@@ -303,23 +308,34 @@
 }
 
 /** Restores the store from a copy that is up to some seconds old. Changes of
-   the configuration before and after it show whether a gateway misses one. */
+   the configuration before and after it show whether a gateway misses one. One
+    gateway is cut off from the store from before the restore until the second
+    change has to be in force, so that it learns of the restore from its peers
+    only. */
 void
 Soak::RestoreStore(const Fault& aFault)
 {
   const Millis away = std::min(aFault.m_duration, kMaxStoreAway);
   const auto age =
     std::chrono::duration_cast<Millis>(kMaxCopyAge * aFault.m_strength);
-  RecordFault(aFault, away + kWrittenAgain);
+  const Millis end = kChangeLead + away + kWrittenAgain;
+  RecordFault(aFault, end);
   ChangeConfig();
+  auto& gateway =
+    m_fleet.m_gateways[aFault.m_target % m_fleet.m_gateways.size()];
+  auto& link = *gateway.m_storeLink;
+  link.SetFault(LinkFault::Cut, {});
   m_delayed.After(kChangeLead, [this, age, away] {
     m_fleet.CallStore(RestoreCall(age, away));
   });
-  m_delayed.After(kChangeLead + away + kWrittenAgain, [this] {
-    if (!m_faultsEnded) {
+  m_delayed.After(end + kSecondChange, [this] {
+    if (!m_stoppingAll) {
       ChangeConfig();
     }
   });
+  ScheduleFaultEnd(gateway.m_host,
+                   end + kSecondChange + kCutAfterChange,
+                   [&link] { link.SetFault(LinkFault::None, {}); });
 }
 
 void
