Soak: a restore loses changes that a cut-off gateway has read

A restore now loses three or four changes, of which the operator writes the last again, and a later change must reach a gateway that the store does not serve. The stand-in forgot to write again what was lost together with its predecessor.

--- a/soak/inject.cpp
+++ b/soak/inject.cpp
@@ -23,9 +23,12 @@
    the oldest copy. */
 constexpr Millis kMaxStoreAway{ 1000 };
 constexpr Millis kMaxCopyAge{ 5000 };
-/** A change of the configuration precedes the restore by this time, so that the
-    copy lacks it. */
-constexpr Millis kChangeLead{ 150 };
+/** Name of the restore among the active faults. */
+constexpr const char* kRestoreFault = "store-restored";
+/** Even number of changes of the configuration that a restore loses, and the
+    time between them. */
+constexpr int kLostChanges = 4;
+constexpr Millis kChangeInterval{ 100 };
 /** Time after a restore by which all lost records have been written again. */
 constexpr Millis kWrittenAgain{ 1500 };
 /** Time from then until the second change, which is beyond the time for which
@@ -307,35 +310,46 @@
   ScheduleFaultEnd("store", aFault.m_duration, [this] { SetStoreFault({}); });
 }
 
-/** Restores the store from a copy that is up to some seconds old. Changes of
-   the configuration before and after it show whether a gateway misses one. One
-    gateway is cut off from the store from before the restore until the second
-    change has to be in force, so that it learns of the restore from its peers
-    only. */
+/** Restores the store from a copy that lacks the latest changes of the
+    configuration, of which the operator writes only the last again, so that the
+    topic ends at a lower offset than before. A later change shows whether a
+    gateway misses it. One gateway, the same in all restores, is cut off from
+   the store until that change has to be in force, so that it learns of the
+   restore from its peers only. */
 void
 Soak::RestoreStore(const Fault& aFault)
 {
   const Millis away = std::min(aFault.m_duration, kMaxStoreAway);
-  const auto age =
-    std::chrono::duration_cast<Millis>(kMaxCopyAge * aFault.m_strength);
-  const Millis end = kChangeLead + away + kWrittenAgain;
+  const Millis changes = kLostChanges * kChangeInterval;
+  const auto age = std::chrono::duration_cast<Millis>(
+    changes + away + kMaxCopyAge * aFault.m_strength);
+  const Millis end = changes + away + kWrittenAgain;
   RecordFault(aFault, end);
-  ChangeConfig();
   auto& gateway =
-    m_fleet.m_gateways[aFault.m_target % m_fleet.m_gateways.size()];
+    m_fleet.m_gateways[m_options.m_fleet.m_seed % m_fleet.m_gateways.size()];
   auto& link = *gateway.m_storeLink;
-  link.SetFault(LinkFault::Cut, {});
-  m_delayed.After(kChangeLead, [this, age, away] {
-    m_fleet.CallStore(RestoreCall(age, away));
-  });
-  m_delayed.After(end + kSecondChange, [this] {
+  const bool isFirst = m_activeFaults[kRestoreFault] == 0;
+  ScheduleFaultEnd(kRestoreFault, end + kSecondChange, [this, &link] {
     if (!m_stoppingAll) {
       ChangeConfig();
     }
+    m_delayed.After(kCutAfterChange,
+                    [&link] { link.SetFault(LinkFault::None, {}); });
+  });
+  if (!isFirst) {
+    // Another restore in a row, without changes of its own.
+    m_fleet.CallStore(RestoreCall(age, away));
+    return;
+  }
+  // The last lost configuration has the route of the probes, and the later one
+  // does not: a gateway that misses the latter serves the route.
+  for (int i = m_hasProbe ? 0 : 1; i < kLostChanges; ++i) {
+    m_delayed.After(kChangeInterval * i, [this] { ChangeConfig(); });
+  }
+  m_delayed.After(changes, [this, age, away, &link] {
+    link.SetFault(LinkFault::Cut, {});
+    m_fleet.CallStore(RestoreCall(age, away));
   });
-  ScheduleFaultEnd(gateway.m_host,
-                   end + kSecondChange + kCutAfterChange,
-                   [&link] { link.SetFault(LinkFault::None, {}); });
 }
 
 void
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -206,7 +206,10 @@
     } else {
       topic.m_newest.erase(last.m_key);
     }
-    lost.emplace(entry, std::move(last));
+    const auto [newest, isFirst] = lost.emplace(entry, last);
+    if (!isFirst) {
+      newest->second.m_replaced = std::move(last.m_replaced);
+    }
   }
   std::vector<Appended> records;
   for (auto& [entry, record] : lost) {
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -304,33 +304,36 @@
     return; // an older page was read again
   }
   if (config->m_version > m_configVersion || m_engine.Routes() == nullptr) {
-    m_log.Write(LogLine("configuration-read")
-                  .Add("version", config->m_version)
-                  .Add("offset", aRecord.m_offset)
-                  .Add("bytes", aRecord.m_value->size())
-                  .Add("from", m_recordSource));
+    ReadConfig read{ *std::move(config),
+                     aRecord.m_offset,
+                     aRecord.m_value->size(),
+                     m_recordSource };
     if (m_engine.Routes() != nullptr) {
-      ApplyConfig(*std::move(config));
-    } else if (!m_heldConfig || m_heldConfig->m_version <= config->m_version) {
-      m_heldConfig = *std::move(config);
+      ApplyConfig(std::move(read));
+    } else if (!m_heldConfig ||
+               m_heldConfig->m_config.m_version <= read.m_config.m_version) {
+      m_heldConfig = std::move(read);
       CheckHeldConfig(BootClock::now());
     }
   }
 }
 
 void
-Gateway::ApplyConfig(RoutingConfig aConfig)
+Gateway::ApplyConfig(ReadConfig aRead)
 {
-  m_configVersion = aConfig.m_version;
+  auto& config = aRead.m_config;
+  m_configVersion = config.m_version;
   m_versions.Add(BootClock::now(), m_configVersion);
   m_log.Write(LogLine("configuration-in-force")
-                .Add("version", aConfig.m_version)
-                .Add("routes", aConfig.m_routes.size())
-                .Add("issues", aConfig.m_issues.size())
-                .Add("from", m_recordSource),
+                .Add("version", config.m_version)
+                .Add("offset", aRead.m_offset)
+                .Add("routes", config.m_routes.size())
+                .Add("bytes", aRead.m_bytes)
+                .Add("issues", config.m_issues.size())
+                .Add("from", aRead.m_source),
               LogPriority::State);
-  LogIssues(aConfig);
-  m_engine.SetRoutes(std::make_shared<const RouteTable>(std::move(aConfig)));
+  LogIssues(config);
+  m_engine.SetRoutes(std::make_shared<const RouteTable>(std::move(config)));
   m_ownership.OnChange();
 }
 
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -50,7 +50,16 @@
   /** Records that the store has reached an era. */
   void OnStoreEra(StoreEra aEra);
   void OnPeerEra(TimePoint aArrivedAt, const GossipHeartbeat& aHeartbeat);
-  void ApplyConfig(RoutingConfig aConfig);
+  /** A configuration with what log lines say about its origin. */
+  struct ReadConfig
+  {
+    RoutingConfig m_config;
+    Offset m_offset = 0;
+    std::size_t m_bytes = 0;
+    /** "store" or the name of a peer. */
+    std::string m_source;
+  };
+  void ApplyConfig(ReadConfig aRead);
   void CheckHeldConfig(TimePoint aNow);
   /** Returns until when an endpoint entry of the present era may come from the
       copy that the store was restored from, or nothing if its owner wrote it
@@ -131,7 +140,7 @@
   StartConfig m_startConfig;
   /** A configuration that is not in force, because peers may have a later
       one. */
-  std::optional<RoutingConfig> m_heldConfig;
+  std::optional<ReadConfig> m_heldConfig;
   /** When this daemon learned of its peers. */
   std::optional<TimePoint> m_peersKnownAt;
   /** Source of the records that are being applied: "store" or the name of a
--- a/src/sapphirehook/gateway/gateway_era.cpp
+++ b/src/sapphirehook/gateway/gateway_era.cpp
@@ -89,7 +89,7 @@
   }
   // A store that has never been restored returns the latest configuration.
   if (m_storeEra == 0 || m_startConfig.MayUse(aNow,
-                                              m_heldConfig->m_version,
+                                              m_heldConfig->m_config.m_version,
                                               m_peersKnownAt,
                                               !m_gossip.Peers().empty())) {
     ApplyConfig(*std::exchange(m_heldConfig, std::nullopt));
@@ -97,7 +97,7 @@
   }
   WriteRateLimited(m_protocol.m_configTopic,
                    LogLine("configuration-held")
-                     .Add("version", m_heldConfig->m_version)
+                     .Add("version", m_heldConfig->m_config.m_version)
                      .Add("peers_have", m_startConfig.LatestOfPeers(aNow))
                      .Add("era", m_storeEra));
 }
--- a/src/sapphirehook/gateway/gateway_peers.cpp
+++ b/src/sapphirehook/gateway/gateway_peers.cpp
@@ -120,7 +120,7 @@
   }
   heartbeat.m_isConfigInForce = m_engine.Routes() != nullptr;
   heartbeat.m_configVersion =
-    m_heldConfig ? m_heldConfig->m_version : m_configVersion;
+    m_heldConfig ? m_heldConfig->m_config.m_version : m_configVersion;
   heartbeat.m_storeWorks = m_storeWorks;
   heartbeat.m_relays = m_storeWorks && RelaysAnyTopic();
   heartbeat.m_storeConfirmationAgeMs =
