--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -239,6 +239,7 @@
   events.m_onFailure = [this, aTopic](const ReadFailure& aFailure) {
     OnReadFailure(aTopic, aFailure);
   };
+  events.m_onEra = [this](StoreEra aEra) { OnStoreEra(aEra); };
   events.m_onUnreadable = [this, aTopic](std::size_t aRecords) {
     WriteRateLimited(aTopic,
                      LogLine("records-unreadable")
@@ -331,23 +332,40 @@
     return; // an older page was read again
   }
   if (config->m_version > m_configVersion || m_engine.Routes() == nullptr) {
-    m_configVersion = config->m_version;
-    m_versions.Add(BootClock::now(), m_configVersion);
-    m_log.Write(LogLine("configuration-in-force")
-                  .Add("version", config->m_version)
-                  .Add("offset", aRecord.m_offset)
-                  .Add("routes", config->m_routes.size())
-                  .Add("bytes", aRecord.m_value->size())
-                  .Add("issues", config->m_issues.size())
-                  .Add("from", m_recordSource),
-                LogPriority::State);
-    LogIssues(*config);
-    m_engine.SetRoutes(std::make_shared<const RouteTable>(*std::move(config)));
-    QueueEndpointsChanged(); // the services have limits for cold endpoints
-    m_ownership.OnChange();
+    ReadConfig read{ *std::move(config),
+                     aRecord.m_offset,
+                     aRecord.m_value->size(),
+                     m_recordSource };
+    if (m_engine.Routes() != nullptr) {
+      ApplyConfig(std::move(read));
+    } else if (!m_heldConfig ||
+               m_heldConfig->m_config.m_version <= read.m_config.m_version) {
+      m_heldConfig = std::move(read);
+      CheckHeldConfig(BootClock::now());
+    }
   }
 }
 
+void
+Gateway::ApplyConfig(ReadConfig aRead)
+{
+  auto& config = aRead.m_config;
+  m_configVersion = config.m_version;
+  m_versions.Add(BootClock::now(), m_configVersion);
+  m_log.Write(LogLine("configuration-in-force")
+                .Add("version", config.m_version)
+                .Add("offset", aRead.m_offset)
+                .Add("routes", config.m_routes.size())
+                .Add("bytes", aRead.m_bytes)
+                .Add("issues", config.m_issues.size())
+                .Add("from", aRead.m_source),
+              LogPriority::State);
+  LogIssues(config);
+  m_engine.SetRoutes(std::make_shared<const RouteTable>(std::move(config)));
+  QueueEndpointsChanged(); // the services have limits for cold endpoints
+  m_ownership.OnChange();
+}
+
 /** Logs the parts of a configuration that could not be applied as written. */
 void
 Gateway::LogIssues(const RoutingConfig& aConfig)
@@ -403,7 +421,8 @@
                   .Add("draining", record->m_draining ? 1 : 0)
                   .Add("offset", aRecord.m_offset),
                 LogPriority::Routine);
-    m_directory.OnRecord(now, *std::move(record));
+    m_directory.OnRecord(
+      now, *std::move(record), RestoredEntryUntil(aRecord.m_offset));
     const auto* known = m_directory.Find(aRecord.m_key);
     if (known != nullptr && known->m_coldSince == now) {
       m_log.Write(LogLine("endpoint-cold")
@@ -430,6 +449,7 @@
 {
   m_endpointsQueued = false;
   const TimePoint now = BootClock::now();
+  m_directory.ConfirmListed(now);
   m_directory.Forget(now, kForgetAfter);
   m_engine.SetEndpoints(now, m_directory);
   m_ownership.OnChange();
@@ -439,6 +459,9 @@
     if (known.m_removedAt && now < known.m_removalEffectiveAt) {
       next = std::min(next, known.m_removalEffectiveAt);
     }
+    if (known.m_confirmedAt) {
+      next = std::min(next, *known.m_confirmedAt);
+    }
   }
   if (next != TimePoint::max()) {
     m_directoryTimer.Start(next - now);
--- a/src/sapphirehook/gateway/gateway_zones.cpp
+++ b/src/sapphirehook/gateway/gateway_zones.cpp
@@ -1,6 +1,7 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // Evacuated zones, and the hosts among which limits are divided.
 
@@ -12,6 +13,9 @@
     time, for example during an outage of the store or before the first read. An
     evacuation that this host then reads may be as old as the copy. */
 constexpr Millis kNormalCopyAge{ 2000 };
+/** Time after a restore of the store within which the operator writes again
+   what is missing. */
+constexpr Millis kRewriteTime{ 3000 };
 
 } // namespace
 
@@ -28,6 +32,12 @@
     if (found == evacuations.end()) {
       return;
     }
+    if (m_eraBeganAt && now < *m_eraBeganAt + kRewriteTime) {
+      // The copy that the store was restored from may be older than the
+      // request, which the operator then writes again.
+      m_zoneReturns.emplace(aZone, aRecord);
+      return;
+    }
     const TimePoint since = found->second;
     m_directory.EndEvacuation(now, aZone);
     m_emptyZones.erase(aZone);
@@ -41,6 +51,7 @@
     QueueEndpointsChanged();
     return;
   }
+  m_zoneReturns.erase(aZone);
   const TimePoint completeAt =
     m_topicStates.at(m_protocol.m_configTopic).m_readSchedule.CompleteAt();
   const bool mayBeOld = now > completeAt + kNormalCopyAge;
@@ -66,6 +77,11 @@
 void
 Gateway::WatchEvacuations(TimePoint aNow)
 {
+  if (!m_zoneReturns.empty() && aNow >= *m_eraBeganAt + kRewriteTime) {
+    for (const auto& [zone, record] : std::exchange(m_zoneReturns, {})) {
+      OnEvacuation(zone, record);
+    }
+  }
   for (const auto& [zone, since] : m_directory.Evacuations()) {
     if (m_emptyZones.contains(zone) || !m_ownership.KnowsMaps()) {
       continue;
--- a/src/sapphirehook/gateway/request_admission.cpp
+++ b/src/sapphirehook/gateway/request_admission.cpp
@@ -8,6 +8,15 @@
 
 namespace sapphirehook {
 
+namespace {
+
+/** How far ahead the next admission of a cold endpoint is searched, and the
+    step of the search. A Retry-After is at most as long. */
+constexpr Millis kMaxColdWait{ 1000 };
+constexpr Millis kColdWaitStep{ 25 };
+
+} // namespace
+
 bool
 RequestEngine::ApplyShare(TimePoint aNow, const TransactionPtr& aTransaction)
 {
@@ -53,6 +62,7 @@
   if (endpoint != nullptr) {
     SendTo(now, aTransaction, *endpoint);
   } else {
+    CountHeldBack(now, *aTransaction);
     const bool mayRefuse = !aTransaction->m_mayHaveRun;
     const auto wait = ExpectedWait(now, *aTransaction);
     const auto maxWait = LatestStart(TermsOf(*aTransaction)) - now;
@@ -67,7 +77,6 @@
              m_admission.RetrySpread(aTransaction->m_service));
       return;
     }
-    CountHeldBack(now, *aTransaction);
     Enqueue(aTransaction);
   }
   if (!aTransaction->m_done) {
@@ -111,9 +120,16 @@
   auto& service = ServiceOf(aTransaction.m_service);
   if (aTransaction.m_key) {
     const auto* holder = HolderOf(aTransaction);
-    return holder != nullptr
-             ? holder->m_load.ExpectedWait(aNow, service.m_meanServiceTime)
-             : std::chrono::nanoseconds(0);
+    if (holder == nullptr) {
+      return std::chrono::nanoseconds(0);
+    }
+    auto wait = holder->m_load.ExpectedWait(aNow, service.m_meanServiceTime);
+    // A cold holder admits this host's requests at times that are known.
+    while (wait < kMaxColdWait &&
+           !AdmitsCold(aNow + wait, aTransaction, *holder)) {
+      wait += kColdWaitStep;
+    }
+    return wait;
   }
   // Daemons exchange the queue lengths of divided services. For others the
   // estimate assumes that each daemon has as many queued requests as this one.
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -29,17 +29,10 @@
 /** Latency that the choice of an endpoint adds for an upload to another zone.
     It is higher because the bytes of large bodies between zones cost more. */
 constexpr Millis kUploadZoneCost{ 150 };
-<<<<<<< HEAD
 /** Time before the end of a stopping process at which it answers all unanswered
     requests, so that the answers reach the callers before the connections
     close. */
 constexpr Millis kFinalAnswerTime{ 250 };
-=======
-/** How far ahead the next admission of a cold endpoint is searched, and the
-   step of the search. A Retry-After is at most as long. */
-constexpr Millis kMaxColdWait{ 1000 };
-constexpr Millis kColdWaitStep{ 25 };
->>>>>>> cold/main
 
 } // namespace
 
@@ -389,68 +382,6 @@
   return std::nullopt;
 }
 
-<<<<<<< HEAD
-=======
-void
-RequestEngine::SendOrEnqueue(const TransactionPtr& aTransaction)
-{
-  const TimePoint now = BootClock::now();
-  auto* endpoint = Choose(now, *aTransaction);
-  if (endpoint != nullptr) {
-    SendTo(now, aTransaction, *endpoint);
-  } else {
-    CountHeldBack(now, *aTransaction);
-    const auto wait = ExpectedWait(now, *aTransaction);
-    const auto maxWait = WaitDeadline(*aTransaction) - now;
-    if (wait > maxWait && !aTransaction->m_mayHaveRun) {
-      Refuse(aTransaction, "too many wait", wait - maxWait);
-      return;
-    }
-    Enqueue(aTransaction);
-  }
-  if (!aTransaction->m_done) {
-    ArmTimer(aTransaction);
-  }
-}
-
-std::chrono::nanoseconds
-RequestEngine::ExpectedWait(TimePoint aNow, const Transaction& aTransaction)
-{
-  auto& service = ServiceOf(aTransaction.m_service);
-  if (aTransaction.m_key) {
-    const auto* holder = HolderOf(aTransaction);
-    if (holder == nullptr) {
-      return std::chrono::nanoseconds(0);
-    }
-    auto wait = holder->m_load.ExpectedWait(aNow, service.m_meanServiceTime);
-    // A cold holder admits this host's requests at times that are known.
-    while (wait < kMaxColdWait &&
-           !AdmitsCold(aNow + wait, aTransaction, *holder)) {
-      wait += kColdWaitStep;
-    }
-    return wait;
-  }
-  // The estimate assumes that each daemon has as many queued requests as this
-  // one, and that all endpoints are busy.
-  std::chrono::duration<double> meanServiceTime = service.m_meanServiceTime;
-  double perSecond = 0.0;
-  for (const auto* endpoints :
-       { &service.m_localZone, &service.m_otherZones }) {
-    for (const auto* endpoint : *endpoints) {
-      perSecond +=
-        endpoint->m_usable ? static_cast<double>(endpoint->m_load.Slots()) : 0;
-    }
-  }
-  perSecond /= std::max(meanServiceTime.count(), kMinServiceSeconds);
-  const auto waiting =
-    static_cast<double>(service.m_waiting.size() * m_daemons);
-  return perSecond <= 0.0
-           ? std::chrono::nanoseconds(0)
-           : std::chrono::duration_cast<std::chrono::nanoseconds>(
-               std::chrono::duration<double>(waiting / perSecond));
-}
-
->>>>>>> cold/main
 RequestEngine::Endpoint*
 RequestEngine::Choose(TimePoint aNow, const Transaction& aTransaction)
 {
