Grant a draining endpoint's keys with one set of fences

Cause: an endpoint that closes its connection after each answer, as draining ones do, had no trusted connection left after each grant. Each further grant of a new leader needed new fences and a confirmation of the store, up to a second. The endpoint ended before all its keys had moved.

Change: the first grant, and each grant to such an endpoint, waits up to 40 ms for a second connection, which the answer makes trusted. A connection is trusted only if it was established after the one on which the answer came; before, one that was older than the first connection could count as trusted.

--- a/src/sapphirehook/gateway/endpoint_commands.cpp
+++ b/src/sapphirehook/gateway/endpoint_commands.cpp
@@ -23,6 +23,10 @@
 constexpr Millis kUnresponsiveRetryAfter{ 3000 };
 /** Number of connections for grants to an endpoint. */
 constexpr std::size_t kGrantClients = 2;
+/** A grant waits at most this long for a second connection, and checks this
+    often whether it is established. */
+constexpr Millis kSpareWait{ 40 };
+constexpr Millis kSparePoll{ 2 };
 
 } // namespace
 
@@ -36,6 +40,7 @@
   , m_address(aRecord.m_address)
   , m_events(std::move(aEvents))
   , m_fenceRenewalTimer(aLoop, [this] { m_renewingFences = false; })
+  , m_spareTimer(aLoop, [this] { SendNext(); })
   , m_answeredAt(BootClock::now())
 {
   for (std::size_t i = 0; i < kGrantClients; ++i) {
@@ -53,14 +58,69 @@
                      [](const auto& aOne) { return aOne.IsTrusted(); });
 }
 
+/** Returns the idle connection that was established first, or else an idle
+    client without a connection. */
 EndpointCommands::GrantClient*
 EndpointCommands::FreeClient(bool aTrusted)
 {
-  const auto found = std::find_if(
-    m_grantClients.begin(), m_grantClients.end(), [&](const auto& aOne) {
-      return !aOne.m_client->IsBusy() && aOne.IsTrusted() == aTrusted;
-    });
-  return found == m_grantClients.end() ? nullptr : &*found;
+  GrantClient* first = nullptr;
+  for (auto& one : m_grantClients) {
+    if (one.m_client->IsBusy() || one.IsTrusted() != aTrusted) {
+      continue;
+    }
+    const auto since = one.m_client->ConnectedAt();
+    if (first == nullptr ||
+        (since &&
+         since < first->m_client->ConnectedAt().value_or(TimePoint::max()))) {
+      first = &one;
+    }
+  }
+  return first;
+}
+
+/** Whether a grant on this connection should wait for a second connection. Its
+    answer makes a second connection trusted that was established before it was
+    sent. An endpoint that closes its connections after each answer, as draining
+    ones do, would otherwise need new fences and a confirmation of the store for
+    each grant, and end before all its keys have moved. */
+bool
+EndpointCommands::AwaitsSpare(GrantClient& aClient)
+{
+  // The first grant also waits once for the other grants of the same tick.
+  const bool isFirst = !aClient.IsTrusted();
+  const bool needsSpare =
+    m_closesConnections ||
+    (isFirst && (m_queue.size() > 1 || !m_spareAwaitedSince));
+  const TimePoint now = BootClock::now();
+  if (!needsSpare || m_unanswered > 0) {
+    m_spareAwaitedSince.reset();
+    return false;
+  }
+  GrantClient* spare = nullptr;
+  for (auto& one : m_grantClients) {
+    if (&one != &aClient && !one.m_client->IsBusy()) {
+      spare = &one;
+    }
+  }
+  const auto since = aClient.m_client->ConnectedAt();
+  const bool isReady =
+    since && spare != nullptr && spare->m_client->ConnectedAt() >= since;
+  if (!m_spareAwaitedSince) {
+    m_spareAwaitedSince = now;
+  }
+  if (isReady || spare == nullptr || now >= *m_spareAwaitedSince + kSpareWait) {
+    m_spareAwaitedSince.reset();
+    return false;
+  }
+  // The second connection leads to the same incarnation only if it is
+  // established after the first.
+  if (!since) {
+    aClient.m_client->Connect();
+  } else if (m_closesConnections || m_queue.size() > 1) {
+    spare->m_client->Connect();
+  }
+  m_spareTimer.Start(kSparePoll);
+  return true;
 }
 
 void
@@ -89,6 +149,7 @@
 EndpointCommands::AbandonCall()
 {
   DropQueue();
+  m_spareTimer.Stop();
   for (const auto& client : m_grantClients) {
     client.m_client->AbandonCall();
   }
@@ -102,6 +163,9 @@
 {
   while (!m_queue.empty()) {
     if (auto* trusted = FreeClient(true)) {
+      if (AwaitsSpare(*trusted)) {
+        return;
+      }
       Send(*trusted);
     } else if (HasTrusted() || m_firstInFlight) {
       // A second connection can carry grants once its incarnation is known.
@@ -113,6 +177,9 @@
       RequestNewFences();
       return;
     } else if (auto* first = FreeClient(false)) {
+      if (AwaitsSpare(*first)) {
+        return;
+      }
       m_sentWithCurrentFences = true;
       m_firstInFlight = true;
       Send(*first);
@@ -144,15 +211,18 @@
   aClient.m_client->Call(
     m_protocol.m_grant(grant.m_command),
     kGrantTimeout,
-    [this, &aClient, sentAt = BootClock::now(), id = grant.m_id](
-      const CallResult& aResult) {
-      OnGrantResult(aClient, sentAt, id, aResult);
+    [this,
+     &aClient,
+     connectedAt = aClient.m_client->ConnectedAt(),
+     sentAt = BootClock::now(),
+     id = grant.m_id](const CallResult& aResult) {
+      OnGrantResult(aClient, { connectedAt, sentAt }, id, aResult);
     });
 }
 
 void
 EndpointCommands::OnGrantResult(GrantClient& aClient,
-                                TimePoint aSentAt,
+                                const SentGrant& aSent,
                                 std::uint64_t aId,
                                 const CallResult& aResult)
 {
@@ -161,14 +231,17 @@
     if (first) {
       aClient.m_trustedAt = aClient.m_client->ConnectedAt();
     }
-    // The incarnation that answered was already running when these connections
-    // were established.
+    // The incarnation that answered was running from the establishment of its
+    // connection until after the call was sent, so connections established
+    // meanwhile lead to it.
     for (auto& client : m_grantClients) {
       const auto since = client.m_client->ConnectedAt();
-      if (since && *since <= aSentAt) {
+      if (since && aSent.m_connectedAt && *since >= *aSent.m_connectedAt &&
+          *since <= aSent.m_sentAt) {
         client.m_trustedAt = since;
       }
     }
+    m_closesConnections = !aClient.m_client->IsConnected();
   }
   RecordResult(aResult);
   m_events.m_onGrantEnd(aId, m_protocol.m_parseCommandResult(aResult));
--- a/src/sapphirehook/gateway/endpoint_commands.hpp
+++ b/src/sapphirehook/gateway/endpoint_commands.hpp
@@ -77,9 +77,18 @@
     }
   };
 
+  /** When a grant was sent, and when its connection had been established;
+      nothing if there was no connection yet. */
+  struct SentGrant
+  {
+    std::optional<TimePoint> m_connectedAt;
+    TimePoint m_sentAt{};
+  };
+
   void Send(GrantClient& aClient);
+  [[nodiscard]] bool AwaitsSpare(GrantClient& aClient);
   void OnGrantResult(GrantClient& aClient,
-                     TimePoint aSentAt,
+                     const SentGrant& aSent,
                      std::uint64_t aId,
                      const CallResult& aResult);
   void RequestNewFences();
@@ -95,6 +104,11 @@
   std::vector<std::unique_ptr<HttpClient>> m_releaseClients;
   std::deque<EndpointGrant> m_queue;
   Timer m_fenceRenewalTimer;
+  /** Checks whether the second connection is established. */
+  Timer m_spareTimer;
+  std::optional<TimePoint> m_spareAwaitedSince;
+  /** Whether the endpoint closed the connection after its last answer. */
+  bool m_closesConnections = false;
   TimePoint m_answeredAt;
   TimePoint m_lastUnansweredAt{};
   unsigned m_unanswered = 0;
--- a/test/sapphirehook/gateway/endpoint_commands.cpp
+++ b/test/sapphirehook/gateway/endpoint_commands.cpp
@@ -223,3 +223,25 @@
       Millis(500)));
   }
 }
+
+// Guards against keys that end with their endpoint (soak seeds 415 and 529): a
+// draining endpoint closes each connection, so each grant of a new leader
+// needed new fences, a confirmation of the store and thus up to a second.
+TEST_CASE("an endpoint that closes its connections gets many grants with the "
+          "same fences",
+          "[gateway]")
+{
+  constexpr std::size_t kGrants = 40;
+  Fixture fixture;
+  fixture.m_leaving = true;
+  for (std::size_t i = 0; i < kGrants; ++i) {
+    fixture.m_commands.Grant({ ++fixture.m_id, "e", { { 0, 9 }, 1, {}, "" } });
+  }
+  static_cast<void>(support::RunUntil(
+    fixture.m_loop,
+    [&] { return fixture.m_grantOutcomes.size() == kGrants; },
+    Millis(1000)));
+  CHECK(fixture.m_grantOutcomes ==
+        std::vector<CommandOutcome>(kGrants, CommandOutcome::Done));
+  CHECK(fixture.m_newConnections == 0);
+}
