Stand-in store: a second restore keeps the operator's lost records

The operator's pending writes were dropped by the next restore, so records stayed lost after two in a row.

--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -206,10 +206,7 @@
     } else {
       topic.m_newest.erase(last.m_key);
     }
-    const auto [newest, isFirst] = lost.emplace(entry, last);
-    if (!isFirst) {
-      newest->second.m_replaced = std::move(last.m_replaced);
-    }
+    lost.emplace(entry, std::move(last));
   }
   std::vector<Appended> records;
   for (auto& [entry, record] : lost) {
@@ -218,18 +215,19 @@
   return records;
 }
 
-/** Writes a lost record again unless its key has a newer value by then. */
+/** Writes a lost record again unless its writer has written the key since, or
+    it is already back. A further restore in the meantime changes nothing. */
 void
 StandinStore::WriteAgain(const Appended& aRecord, Millis aDelay)
 {
-  m_delayed.After(aDelay, [this, aRecord, era = m_era] {
+  const std::pair entry(aRecord.m_topic, aRecord.m_key);
+  m_delayed.After(aDelay, [this, aRecord, entry, puts = m_puts[entry]] {
     const auto& newest = m_topics[aRecord.m_topic].m_newest;
     const auto known = newest.find(aRecord.m_key);
-    const bool isReplaced =
-      known != newest.end() &&
-      (!aRecord.m_replaced ||
-       known->second.m_offset != aRecord.m_replaced->m_offset);
-    if (era != m_era || isReplaced) {
+    const bool isBack = known == newest.end()
+                          ? !aRecord.m_value
+                          : known->second.m_value == aRecord.m_value;
+    if (puts != m_puts[entry] || isBack) {
       return;
     }
     StoreCall call;
@@ -292,6 +290,7 @@
     call.m_topic = topic;
     call.m_records.push_back(
       { 0, key, value.empty() ? std::nullopt : std::optional(value) });
+    ++m_puts[{ topic, key }];
     m_operatorWrites =
       timeToLive <= Millis(0) && !m_timesToLive.contains({ topic, key });
     static_cast<void>(Append(call));
--- a/soak/store.hpp
+++ b/soak/store.hpp
@@ -124,6 +124,8 @@
   /** Expiry times of entries, by topic and key. An entry expires unless it is
       written again. */
   std::map<std::pair<std::string, std::string>, TimePoint> m_expiries;
+  /** Number of values that the writers of an entry have put. */
+  std::map<std::pair<std::string, std::string>, std::uint64_t> m_puts;
   /** Times to live of entries, which hold for restored entries too. */
   std::map<std::pair<std::string, std::string>, Millis> m_timesToLive;
   /** Calls that are kept open and never answered. */
