Compare the runs of a host for equality only in the replicated state

Cause: joins and records of a run with a lower number than an earlier one counted as late. The numbers come from a clock that may be set back, so a daemon that started after such a step was ignored.

Change: a run that is not known yet is the latest of its host; the last eight runs that another has replaced are kept, and their late records are ignored. The state of a writer has a new last field, so daemons of two versions do not have byte-equal states.

--- a/src/sapphirehook/ownership/state.cpp
+++ b/src/sapphirehook/ownership/state.cpp
@@ -23,9 +23,8 @@
 {
   const auto found = aState.m_members.find(aJoin.m_host.m_host);
   if (found != aState.m_members.end() &&
-      found->second.m_incarnation >= aJoin.m_host.m_incarnation) {
-    return Ignored(
-      "the same or a newer incarnation of the host has already joined");
+      found->second.m_incarnation == aJoin.m_host.m_incarnation) {
+    return Ignored("the same incarnation of the host has already joined");
   }
   aState.m_members[aJoin.m_host.m_host] = { aJoin.m_host.m_incarnation,
                                             aJoin.m_region,
@@ -258,17 +257,33 @@
   return absl::OkStatus();
 }
 
-/** Returns whether a record is a repeated append according to its writer's
-    incarnation and sequence number, and updates the writer's state. */
+/** Number of earlier incarnations of a writer that are kept. Late records come
+    from the latest ones. */
+constexpr std::size_t kMaxEndedIncarnations = 8;
+
+/** Returns whether a record is a repeated append, or a late one of an
+   incarnation that a later one has replaced, and updates the writer's state.
+   The numbers of incarnations come from a clock that may be set back, so they
+   are compared for equality only: an incarnation that is not known yet is the
+   latest. */
 bool
 IsRepeat(ClusterState& aState, const Record& aRecord)
 {
   auto& writer = aState.m_writers[aRecord.m_writer.m_host];
-  if (aRecord.m_writer.m_incarnation < writer.m_incarnation) {
+  const auto incarnation = aRecord.m_writer.m_incarnation;
+  if (std::find(writer.m_ended.begin(), writer.m_ended.end(), incarnation) !=
+      writer.m_ended.end()) {
     return true;
   }
-  if (aRecord.m_writer.m_incarnation > writer.m_incarnation) {
-    writer = { aRecord.m_writer.m_incarnation, 0 };
+  if (incarnation != writer.m_incarnation) {
+    if (writer.m_incarnation != 0) {
+      writer.m_ended.push_back(writer.m_incarnation);
+    }
+    if (writer.m_ended.size() > kMaxEndedIncarnations) {
+      writer.m_ended.pop_front();
+    }
+    writer.m_incarnation = incarnation;
+    writer.m_sequence = 0;
   }
   if (aRecord.m_sequence <= writer.m_sequence) {
     return true;
--- a/src/sapphirehook/ownership/state.hpp
+++ b/src/sapphirehook/ownership/state.hpp
@@ -96,7 +96,9 @@
 {
   std::uint64_t m_incarnation = 0;
   std::uint64_t m_sequence = 0;
-  MSGPACK_DEFINE_ARRAY(m_incarnation, m_sequence)
+  /** The writer's earlier incarnations, the latest last. */
+  std::deque<std::uint64_t> m_ended = {};
+  MSGPACK_DEFINE_ARRAY(m_incarnation, m_sequence, m_ended)
   bool operator==(const WriterState&) const = default;
 };
 
--- a/test/sapphirehook/ownership/state.cpp
+++ b/test/sapphirehook/ownership/state.cpp
@@ -212,3 +212,23 @@
     }
   }));
 }
+
+// Guards against a daemon whose records are ignored until its clock has passed
+// the number of an earlier run, after a host's clock was set back.
+TEST_CASE("a later run of a host counts whatever its number", "[state]")
+{
+  const HostId earlier{ "h", 3660 };
+  const HostId later{ "h", GENERATE(1200U, 4000U) };
+  const auto join = [](const HostId& aHost) {
+    return Record{ aHost, 1, JoinRecord{ aHost, "r", "z", "" } };
+  };
+  ClusterState state;
+  CHECK(ApplyRecord(state, 0, join(earlier)).ok());
+  CHECK(ApplyRecord(state, 1, join(later)).ok());
+  CHECK(IsMember(state, later));
+  // Late records of the earlier run, repeated or new, change nothing.
+  CHECK_FALSE(ApplyRecord(state, 2, join(earlier)).ok());
+  CHECK_FALSE(ApplyRecord(state, 3, { earlier, 2, LeaveRecord{ later } }).ok());
+  CHECK_FALSE(ApplyRecord(state, 4, join(later)).ok());
+  CHECK(IsMember(state, later));
+}
