Count the longest cut from the end of a killed leader's process

A later run on the leader's host proves the end of its process, so the longest cut (15 s, as long as the authority) is counted from then instead of from the claim.

Result: [keys], [state] and [gateway] pass.

--- a/src/sapphirehook/keys/earlier_grants.cpp
+++ b/src/sapphirehook/keys/earlier_grants.cpp
@@ -23,6 +23,7 @@
     run.m_incarnation = aFrom.m_incarnation;
     run.m_seenAt = aNow;
   }
+  run.m_knownTerm = std::max(run.m_knownTerm, aTerm);
   if (aLeads) {
     run.m_idleSince.reset();
   } else if (!run.m_idleSince || aTerm > run.m_idleTerm) {
@@ -75,6 +76,16 @@
   return idle ? run->m_idleSince : std::nullopt;
 }
 
+std::optional<TimePoint>
+EarlierGrants::EndedBy(const HostId& aLeader, Term aTerm) const
+{
+  const auto* run = LastHeardRun(aLeader.m_host);
+  const bool ended = run != nullptr &&
+                     run->m_incarnation != aLeader.m_incarnation &&
+                     run->m_knownTerm >= aTerm;
+  return ended ? std::optional(run->m_seenAt) : std::nullopt;
+}
+
 void
 EarlierGrants::ApplyEvidence()
 {
@@ -83,6 +94,9 @@
     if (const auto stopped = StoppedBy(host, term)) {
       ends = std::min(ends, *stopped + m_grantLifetime);
     }
+    if (const auto ended = EndedBy(host, term)) {
+      ends = std::min(ends, *ended + m_longestCut + m_grantLifetime);
+    }
     const auto reported = m_reportedExpiry.find(term);
     if (reported != m_reportedExpiry.end()) {
       ends = std::min(ends, reported->second);
--- a/src/sapphirehook/keys/earlier_grants.hpp
+++ b/src/sapphirehook/keys/earlier_grants.hpp
@@ -33,17 +33,19 @@
     evidence lowers the expiry whenever it arrives, also while a later leader
     already waits for the expiry.
 
-    A later run on the leader's host is no evidence. A killed process resets no
-    connection, so the grants that a network cut holds up arrive when the cut
-    heals (review/2). The time for which a leader may act also bounds the cuts
-    that are waited out. */
+    A later run on the leader's host proves the end of its process, but not of
+    its grants: a killed process resets no connection, so what a network cut
+    holds up arrives when the cut heals (review/2). From then the longest cut is
+    waited out. */
 class EarlierGrants
 {
 public:
   /** aGrantLifetime is the longest time from a leader's last command to the
-      expiry of the lease that the command grants. */
-  explicit EarlierGrants(std::chrono::nanoseconds aGrantLifetime)
+      expiry of the lease that the command grants. aLongestCut is the longest
+      time for which a cut holds up a command of a killed process. */
+  EarlierGrants(std::chrono::nanoseconds aGrantLifetime, Millis aLongestCut)
     : m_grantLifetime(aGrantLifetime)
+    , m_longestCut(aLongestCut)
   {
   }
 
@@ -69,6 +71,13 @@
   [[nodiscard]] std::optional<TimePoint> StoppedBy(const HostId& aLeader,
                                                    Term aTerm) const;
 
+  /** Returns the time by which the process of a leader has certainly ended, or
+      nothing while there is no evidence. A later run knows the leader's term;
+     an earlier run had ended before that term was claimed, since a host runs
+     one process at a time. The numbers of runs say nothing of their order. */
+  [[nodiscard]] std::optional<TimePoint> EndedBy(const HostId& aLeader,
+                                                 Term aTerm) const;
+
   /** Returns the time at which the last of the grants expires. */
   [[nodiscard]] TimePoint Expiry() const noexcept;
 
@@ -85,6 +94,8 @@
     std::uint64_t m_incarnation = 0;
     /** Arrival of the first heartbeat in the present series from this run. */
     TimePoint m_seenAt{};
+    /** Highest term that the run has reported to know. */
+    Term m_knownTerm = 0;
     /** When the run first reported that it knows m_idleTerm and does not lead.
         Empty while it leads. */
     std::optional<TimePoint> m_idleSince;
@@ -97,6 +108,7 @@
   void ApplyEvidence();
 
   std::chrono::nanoseconds m_grantLifetime;
+  Millis m_longestCut;
   std::map<std::string, Run> m_runs;
   /** Expiry of each term's grants, as reported by the term's leader. */
   std::map<Term, TimePoint> m_reportedExpiry;
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -76,7 +76,7 @@
   , m_leaderHeartbeatAt(aNow)
   , m_startedAt(aNow)
   , m_idleSince(aNow)
-  , m_earlier(GrantLifetime())
+  , m_earlier(GrantLifetime(), m_times.m_longestCut)
 {
 }
 
@@ -442,7 +442,8 @@
 TimePoint
 Leadership::OwnHostExpiry(const HostId& aLeader) const
 {
-  return (aLeader == m_self ? m_idleSince : m_startedAt + m_times.m_authority) +
+  return (aLeader == m_self ? m_idleSince
+                            : m_startedAt + m_times.m_longestCut) +
          GrantLifetime();
 }
 
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -53,6 +53,11 @@
   Millis m_leaseDuration{ 4000 };
   /** A command reaches its endpoint within this time, or not at all. */
   Millis m_commandTimeout{ 400 };
+  /** A command of a killed process that a network cut holds up arrives within
+      this time after the end of the process, or not at all. The protocol bounds
+      no cut, so this is a compromise: keys of endpoints that end together with
+      the leader stay without a holder for this long and a lease. */
+  Millis m_longestCut{ 15'000 };
   /** Largest amount by which an endpoint's clock may run slow. */
   unsigned m_driftPpm = 20'000;
 };
