--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -11,7 +11,7 @@
 
 /** A new leader has received heartbeats from all candidates after this time. */
 constexpr Millis kCandidateDiscovery{ 1000 };
-/** A candidate counts while its last heartbeat is younger than this. */
+/** Age from which a candidate's last heartbeat does not count. */
 constexpr Millis kCandidateTimeout{ 1000 };
 /** Daemons that the leader has not named as successors claim in this many
     turns, after the successors. */
@@ -30,8 +30,7 @@
 /** Number of daemons, the first in the order of claims, that read the stored
     record after that time. */
 constexpr int kRecordReaders = 3;
-/** Time from the start in which heartbeats arrive from all daemons of a large
-    fleet. */
+/** Time from the start in which all daemons of a large fleet are heard. */
 constexpr Millis kFleetDiscovery{ 4000 };
 /** A leader resigns only after other daemons have reached the store for this
     long. */
@@ -57,9 +56,8 @@
 constexpr std::size_t kUsualLeaderChanges = 2;
 constexpr Millis kLeaderChangeWindow{ 8000 };
 constexpr std::size_t kMaxTimeoutDoublings = 2;
-/** A daemon that receives no heartbeats at all may itself be cut off, so it
-    waits at least this long before it claims. The wait costs little, since the
-    grants of a lost leader last longer. */
+/** A daemon that receives no heartbeats may itself be cut off, so it waits at
+    least this long. It costs little: a lost leader's grants last longer. */
 constexpr Millis kIsolatedTimeout{ 2000 };
 /** A leader that has resigned does not claim again for this long. */
 constexpr Millis kClaimPauseAfterResigning{ 5000 };
@@ -94,7 +92,6 @@
     }
     for (const auto& leader : aRecord.m_earlier) {
       if (leader.m_leader.m_host == m_self.m_host && !m_leads) {
-        // No heartbeat reports the end of a run on this host.
         m_earlier.Add(
           leader.m_leader, leader.m_term, OwnHostExpiry(leader.m_leader));
       }
@@ -425,9 +422,8 @@
            });
 }
 
-/** Returns an upper bound of the expiry of the recorded leader's grants,
-    without evidence of its end: the leader may act until its authority ends,
-    and may send its last grant at that moment. */
+/** Returns an upper bound of the expiry of the recorded leader's grants without
+    evidence of its end. Its last grant may be sent when its authority ends. */
 TimePoint
 Leadership::PredecessorExpiry(TimePoint aNow) const
 {
@@ -437,8 +433,7 @@
 }
 
 /** Returns an upper bound of the expiry of the grants of this run, or of an
-    earlier run on this host. An earlier run had ended when this one started,
-    but a cut may hold up its commands. */
+    earlier one on this host, whose commands a cut may still hold up. */
 TimePoint
 Leadership::OwnHostExpiry(const HostId& aLeader) const
 {
