--- a/test/sapphirehook/gateway/engine_fixture.hpp
+++ b/test/sapphirehook/gateway/engine_fixture.hpp
@@ -157,7 +157,10 @@
   explicit Fixture(double aLinkMbps = 0.0)
     : m_protocol(platform::Protocol())
     , m_log("test")
-    , m_engine(m_loop, m_protocol, m_log, { "z", BudgetConfig{}, 1, aLinkMbps })
+    , m_engine(m_loop,
+               m_protocol,
+               m_log,
+               { .m_zone = "z", .m_budget = {}, .m_linkMbps = aLinkMbps })
     , m_address(support::FreeAddress())
     , m_listener(m_loop,
                  [this](int aSocket) { m_engine.AcceptCaller(aSocket); })
