--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -20,10 +20,6 @@
     paused and no further request is read. */
 constexpr std::size_t kMaxUnsent = 262'144;
 
-constexpr int kTimeout = 408;
-constexpr int kTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
-
 bool
 ExpectsContinue(const RequestHead& aHead)
 {
--- a/src/sapphirehook/gateway/internal/answers.hpp
+++ b/src/sapphirehook/gateway/internal/answers.hpp
@@ -15,7 +15,10 @@
 inline constexpr int kOk = 200;
 inline constexpr int kBadRequest = 400;
 inline constexpr int kNotFound = 404;
+inline constexpr int kTimeout = 408;
+inline constexpr int kTooLarge = 413;
 inline constexpr int kMisdirected = 421;
+inline constexpr int kHeadTooLarge = 431;
 inline constexpr int kServerError = 500;
 inline constexpr int kBadGateway = 502;
 inline constexpr int kUnavailable = 503;
--- a/src/sapphirehook/gateway/request_admission.cpp
+++ b/src/sapphirehook/gateway/request_admission.cpp
@@ -63,6 +63,10 @@
     SendTo(now, aTransaction, *endpoint);
   } else {
     CountHeldBack(now, *aTransaction);
+    if (!HasLinkCapacity(*aTransaction)) {
+      m_metrics.m_linkFull +=
+        std::exchange(aTransaction->m_waitedForLink, true) ? 0 : 1;
+    }
     const bool mayRefuse = !aTransaction->m_mayHaveRun;
     const auto wait = ExpectedWait(now, *aTransaction);
     const auto maxWait = LatestStart(TermsOf(*aTransaction)) - now;
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -389,7 +389,6 @@
     return nullptr;
   }
   if (!HasLinkCapacity(aTransaction)) {
-    ++m_metrics.m_linkFull;
     return nullptr;
   }
   return aTransaction.m_key
--- a/src/sapphirehook/gateway/transaction.hpp
+++ b/src/sapphirehook/gateway/transaction.hpp
@@ -84,6 +84,8 @@
   bool m_answering = false;
   bool m_done = false;
   bool m_waiting = false;
+  /** The host's link had no capacity for the answer. */
+  bool m_waitedForLink = false;
   /** Number of the request in its service's queue. */
   std::uint64_t m_queueId = 0;
   /** Whether the share of its kind does not include the request: it is served
