--- a/review/support/bench.py
+++ b/review/support/bench.py
@@ -202,6 +202,8 @@
     def value(self, match):
         value = self.node
         for part in match.group(1).split("."):
+            if isinstance(value, dict) and part not in value:
+                return ""  # the platform fills in nothing where there is no value
             value = value[int(part)] if part.isdigit() else value[part]
         return str(value).lower() if isinstance(value, bool) else str(value)
 
