--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -209,6 +209,7 @@
     lost.emplace(entry, std::move(last));
   }
   std::vector<Appended> records;
+  records.reserve(lost.size());
   for (auto& [entry, record] : lost) {
     records.push_back(std::move(record));
   }
