--- a/src/sapphirehook/gateway/engine_metrics.hpp
+++ b/src/sapphirehook/gateway/engine_metrics.hpp
@@ -33,7 +33,7 @@
   /** Requests that a stopping daemon answered at the end of its grace
       period. */
   std::uint64_t m_endedByStop = 0;
-  /** Times at which a download had to wait since the link was in use. */
+  /** Downloads that had to wait since the link was in use. */
   std::uint64_t m_linkFull = 0;
   /** Requests that were passed on while others in front of them on their
       connection were in progress. */
