Ownership: a leader whose claim a restored store lost claims again

A restore of the store took a leader's claim back. At the next move its append got 412. It read the record of the term before, logged that another daemon had claimed, and dropped its assignments; but it went on to lead, loaded the assignments of its own claim, and used its fences a second time.

Cause: terms, fences and confirmations knew no era of the store. OnRecord ignored the lower term and left m_leads set, OnAppendResolved stepped down all the same, and the next tick began again from the records of the claim.

Change: the first term of an era is above all terms of earlier eras, so fences rise although claims are lost. A confirmation counts only in the era of the claim. A leader that learns of a later era (from its reader, any answer, or a peer) stores nothing until it has claimed a new term in that era. It does so if no daemon has reported a later term, if it was not paused since its last confirmation, and once it has heard its peers again. Its holders keep their keys meanwhile. Authority now counts from the call of a claim, not from its answer.

--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -200,6 +200,7 @@
                           TopicState{ TopicCatchUp(topic), {}, {}, {}, {} });
   }
   m_ownership.m_onLeadershipGained = [this] { SendHeartbeat(); };
+  m_ownership.m_onEra = [this](StoreEra aEra) { OnStoreEra(aEra); };
   m_ownership.m_onStoreFailure = [this](StoreAnswer aAnswer) {
     OnStoreFailure("claim", aAnswer);
   };
--- a/src/sapphirehook/gateway/gateway_era.cpp
+++ b/src/sapphirehook/gateway/gateway_era.cpp
@@ -45,6 +45,7 @@
   }
   m_configReader.OnEra(aEra);
   m_endpointReader.OnEra(aEra);
+  m_ownership.OnStoreEra(aEra, m_eraBeganAt.has_value());
 }
 
 /** Takes the era that a peer knows. The peer may have learned of it earlier,
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -50,7 +50,13 @@
   , m_writer(aLoop, aSettings.m_store)
   , m_timer(aLoop, [this] { Tick(); })
   , m_planTimer(aLoop, [this] { Plan(); })
-  , m_storeTimer(aLoop, [this] { Append(); })
+  , m_storeTimer(aLoop, [this] {
+    if (m_reclaiming) {
+      Reclaim();
+    } else {
+      Append();
+    }
+  })
 {
   m_timer.StartEvery(kFollowerTick);
 }
@@ -103,12 +109,16 @@
 {
   m_tickQueued = false;
   const TimePoint now = BootClock::now();
-  if (now >= std::exchange(m_tickedAt, now) + kPauseThreshold) {
-    m_leadership.OnPause(now);
+  const TimePoint before = std::exchange(m_tickedAt, now);
+  if (now >= before + kPauseThreshold) {
+    m_leadership.OnPause(before, now);
   }
   if (m_leadership.Leads()) {
-    if (m_leadership.ShouldResign(now) ||
-        (m_stopping && m_leadership.CanHandOver(now))) {
+    // Until a restored store has the assignments again, no other daemon could
+    // grant a key before all present leases have expired.
+    const bool keepsLeading = m_reclaiming && m_leadership.HasAuthority(now);
+    if (!keepsLeading && (m_leadership.ShouldResign(now) ||
+                          (m_stopping && m_leadership.CanHandOver(now)))) {
       Resign();
       return;
     }
@@ -152,12 +162,19 @@
     }
     return;
   }
+  const bool isKnown = IsOfKnownEra(aPage.m_era);
   if (m_newestAfter.empty()) {
     m_newestEnd = aPage.m_end;
+    m_claimEra = aPage.m_era;
+  }
+  if (aPage.m_era != m_leadership.Era() ||
+      (!isKnown && !m_newestAfter.empty())) {
+    m_claiming = false; // some pages are of an earlier era
+    return;
   }
   for (const auto& record : aPage.m_records) {
     m_newestAfter = record.m_key;
-    m_storedRecords[record.m_key] = record.m_value.value_or("");
+    m_storedRecords[record.m_key] = record;
   }
   if (aPage.m_hasMore && !aPage.m_records.empty()) {
     m_writer.Call(m_protocol.m_store.m_newest(kTopic, m_newestAfter),
@@ -168,11 +185,18 @@
     return;
   }
   const TimePoint now = BootClock::now();
-  if (m_storedRecords.contains(kLeaderKey)) {
-    const auto record = Unpack<LeaderRecord>(m_storedRecords[kLeaderKey]);
-    if (record.ok()) {
-      m_leadership.OnRecord(now, *record);
-    }
+  std::optional<LeaderRecord> stored;
+  if (const auto found = m_storedRecords.find(kLeaderKey);
+      found != m_storedRecords.end()) {
+    stored = UnpackLeader(found->second);
+  }
+  if (stored) {
+    m_leadership.OnRecord(now, *stored);
+  }
+  m_claim.m_knowsEarlier = m_leadership.KnowsEarlierLeaders(stored);
+  m_loadTrustedFrom = stored ? stored->m_trustedFrom : 0;
+  if (!m_claim.m_knowsEarlier) {
+    m_loadTrustedFrom = m_newestEnd + 1; // the end after the claim
   }
   if (!m_leadership.ShouldClaim(now)) {
     m_claiming = false; // a leader has become known since the read began
@@ -184,10 +208,13 @@
 void
 Ownership::Claim(Offset aEnd)
 {
-  m_claimTerm = m_leadership.HighestTerm() + 1;
+  const TimePoint now = BootClock::now();
+  m_claim.m_term = m_leadership.NextTerm();
+  m_claim.m_sentAt = now;
   Leadership after = m_leadership;
-  after.OnClaimed(BootClock::now(), m_claimTerm);
-  const auto record = after.RecordFor(BootClock::now(), m_claimTerm, 0);
+  after.OnClaimed(now, m_claim);
+  auto record = after.RecordFor(now, m_claim.m_term, 0);
+  record.m_trustedFrom = m_loadTrustedFrom;
   m_writer.Call(m_protocol.m_store.m_append(
                   kTopic, aEnd, { { 0, kLeaderKey, Pack(record) } }),
                 kStoreTimeout,
@@ -200,13 +227,16 @@
 Ownership::OnClaimAppend(const AppendOutcome& aOutcome)
 {
   m_claiming = false;
-  if (aOutcome.m_answer != StoreAnswer::Ok) {
-    // The outcome of an unanswered claim does not matter: the next claim reads
-    // the records again and appends at the end it finds.
+  if (!IsOfKnownEra(aOutcome.m_era) || aOutcome.m_era != m_claimEra ||
+      aOutcome.m_answer != StoreAnswer::Ok) {
+    // The outcome of an unanswered claim, or of one that reached the store of
+    // another era than the records that it rests on, does not matter: the next
+    // claim reads the records again and appends at the end it finds.
     return;
   }
   m_end = aOutcome.m_end;
-  m_leadership.OnClaimed(BootClock::now(), m_claimTerm);
+  m_trustedFrom = m_loadTrustedFrom;
+  m_leadership.OnClaimed(BootClock::now(), m_claim);
   BeginLeading();
 }
 
@@ -214,18 +244,21 @@
 Ownership::BeginLeading()
 {
   m_log.Write(LogLine("leads")
-                .Add("term", m_claimTerm)
+                .Add("term", m_claim.m_term)
                 .Add("end", m_end)
+                .Add("era", m_leadership.Era())
+                .Add("knows_earlier", m_claim.m_knowsEarlier)
                 .Add("earlier_grants_ms",
                      m_leadership.PreviousGrantsExpiry() - BootClock::now()),
               LogPriority::State);
   m_sequence = 0;
   m_appending.clear();
   m_appendBusy = false;
+  m_reclaiming = false;
   m_ledServices.clear();
   m_commands.clear();
   m_fullTickAt = {};
-  m_maps.BeginLeading(m_claimTerm);
+  m_maps.BeginLeading(m_claim.m_term);
   SyncServices(BootClock::now());
   m_reader = std::make_unique<TopicReader>(
     m_loop,
@@ -233,12 +266,16 @@
     m_settings.m_store,
     kTopic,
     kLeaderReads,
-    TopicEvents{ [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
-                 nullptr,
-                 [this](const EndConfirmation& aConfirmation) {
-                   m_leadership.OnTermConfirmed(aConfirmation.m_askedAt);
-                 },
-                 [](const ReadFailure&) {} });
+    TopicEvents{
+      [this](const KeyedRecord& aRecord) { OnOwnRecord(aRecord); },
+      nullptr,
+      [this](const EndConfirmation& aConfirmation) {
+        m_leadership.OnTermConfirmed(aConfirmation.m_askedAt,
+                                     aConfirmation.m_end.m_era);
+      },
+      [](const ReadFailure&) {},
+      nullptr,
+      [this](StoreEra aEra) { static_cast<void>(IsOfKnownEra(aEra)); } });
   m_reader->Start();
   m_timer.StartEvery(kLeaderTick);
   m_planTimer.StartEvery(kPlanInterval);
@@ -251,11 +288,10 @@
 void
 Ownership::OnOwnRecord(const KeyedRecord& aRecord)
 {
-  if (aRecord.m_key != kLeaderKey || !aRecord.m_value) {
+  if (aRecord.m_key != kLeaderKey) {
     return;
   }
-  const auto record = Unpack<LeaderRecord>(*aRecord.m_value);
-  if (record.ok()) {
+  if (const auto record = UnpackLeader(aRecord)) {
     m_leadership.OnRecord(BootClock::now(), *record);
     if (!m_leadership.Leads()) {
       m_loop.Defer([this] { StepDown("another daemon has claimed"); });
@@ -297,12 +333,13 @@
     return;
   }
   m_log.Write(
-    LogLine("stops-leading").Add("term", m_claimTerm).Add("why", aWhy),
+    LogLine("stops-leading").Add("term", m_claim.m_term).Add("why", aWhy),
     LogPriority::State);
   m_ledServices.clear();
   m_maps.StopLeading();
   m_writer.Abort();
   m_appendBusy = false;
+  m_reclaiming = false;
   m_appending.clear();
   m_storeTimer.Stop();
   m_planTimer.Stop();
@@ -371,6 +408,9 @@
 {
   const TimePoint now = BootClock::now();
   if (const auto* heartbeat = std::get_if<GossipHeartbeat>(&aMessage)) {
+    if (heartbeat->m_eraAgeMs >= 0 && heartbeat->Era() >= m_leadership.Era()) {
+      m_leadership.OnRestoreSeen();
+    }
     m_leadership.OnHeartbeat(
       now,
       aFrom,
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -48,6 +48,11 @@
   /** Processes a change of the configuration or of the endpoints. */
   void OnChange();
 
+  /** Takes the latest known era of the store. aSawRestore is whether this
+      daemon had read the store before that era began. A leader whose term is of
+      an earlier era claims again and stores all assignments again. */
+  void OnStoreEra(StoreEra aEra, bool aSawRestore);
+
   /** Records whether the store serves this daemon. */
   void SetStoreWorks(bool aWorks) noexcept
   {
@@ -87,6 +92,9 @@
       reads the store before the others. Optional. */
   std::function<bool()> m_knowsHosts;
 
+  /** Called when an answer of the store shows a later era. */
+  std::function<void(StoreEra)> m_onEra;
+
   /** Called when the store did not serve a read for a claim. */
   std::function<void(StoreAnswer)> m_onStoreFailure;
 
@@ -156,8 +164,21 @@
   void OnNewest(const KeyedPage& aPage);
   void Claim(Offset aEnd);
   void OnClaimAppend(const AppendOutcome& aOutcome);
+  /** Takes the era of an answer of the store. Returns false if it is not the
+      one that was known before. */
+  [[nodiscard]] bool IsOfKnownEra(StoreEra aEra);
   void BeginLeading();
   void StepDown(std::string_view aWhy);
+  [[nodiscard]] std::string PackedRecord(TimePoint aNow,
+                                         Term aTerm,
+                                         Offset aTrustedFrom) const;
+  void BeginReclaim();
+  void Reclaim();
+  void OnReclaimRead(const KeyedPage& aPage);
+  void OnReclaimAppend(const AppendOutcome& aOutcome);
+  void OnReclaimed(Offset aEnd);
+  void AddBlocks(const std::string& aService,
+                 const std::vector<RangeManager::StoreBlock>& aBlocks);
   void StoreChanges();
   void Append();
   void OnAppend(const AppendOutcome& aOutcome);
@@ -166,6 +187,9 @@
   void OnAppended(Offset aEnd);
   void OnOwnRecord(const KeyedRecord& aRecord);
   void SyncServices(TimePoint aNow);
+  void LoadAssignments(TimePoint aNow,
+                       const std::string& aService,
+                       RangeManager& aRangeManager);
   /** Whether a service's keys can be assigned: either the store has earlier
       assignments, or its first endpoints have had time to appear. */
   [[nodiscard]] bool CanBegin(TimePoint aNow, const std::string& aService);
@@ -203,8 +227,13 @@
   TimePoint m_claimTriedAt{};
   std::string m_newestAfter;
   Offset m_newestEnd = 0;
-  std::map<std::string, std::string> m_storedRecords;
-  Term m_claimTerm = 0;
+  std::map<std::string, KeyedRecord> m_storedRecords;
+  /** The claim in progress, or the one of this leader. */
+  TermClaim m_claim;
+  /** Era of the pages that a claim in progress has read. */
+  StoreEra m_claimEra = 0;
+  /** Records of m_storedRecords before this offset may be out of date. */
+  Offset m_loadTrustedFrom = 0;
 
   // State of the leader.
   std::map<std::string, LedService> m_ledServices;
@@ -213,6 +242,16 @@
   std::uint64_t m_sequence = 0;
   std::vector<KeyedRecord> m_appending;
   bool m_appendBusy = false;
+  /** Stored assignments before this offset may be out of date. */
+  Offset m_trustedFrom = 0;
+  /** Whether this leader has to claim again, because the store has lost its
+      claim. */
+  bool m_reclaiming = false;
+  /** When this leader learned that. */
+  TimePoint m_claimLostAt{};
+  /** Term and m_trustedFrom of the last such claim. */
+  Term m_reclaimTerm = 0;
+  Offset m_reclaimTrustedFrom = 0;
   /** Times when the last append was sent and when the last successful one
       ended. */
   TimePoint m_appendSentAt{};
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -16,17 +16,12 @@
 
 /** Time between two appends of changes, which batches moves into few calls. */
 constexpr Millis kStoreInterval{ 60 };
-/** Delay before a rejected or unresolved append is retried. */
-constexpr Millis kStoreRetry{ 120 };
 /** Time between two ticks that check all ranges and endpoints. Other ticks
     check only the ranges that have changed. */
 constexpr Millis kFullTickInterval{ 100 };
 /** The same interval while grants are deferred to the next tick. The pause lets
     the event loop handle other events. */
 constexpr Millis kBacklogTickInterval{ 40 };
-/** Number of low bits of a fence that count the changes within a term. A term
-    has fewer changes than they can count. */
-constexpr unsigned kFenceTermBits = 22;
 /** Presumed remaining duration of an earlier leader's grants at the start of a
     term: the lease duration, less the renewal interval, the heartbeat timeout
     that detects the loss of a leader, and the duration of the claim. */
@@ -67,39 +62,48 @@
     if (m_ledServices.contains(name) || !CanBegin(aNow, name)) {
       continue;
     }
-    const Fence first = (m_claimTerm << kFenceTermBits) + 1;
     auto& ledService = m_ledServices
                          .try_emplace(name,
                                       m_settings.m_rangeManager,
-                                      first,
+                                      FirstFenceOf(m_claim.m_term),
                                       m_leadership.PreviousGrantsExpiry())
                          .first->second;
-    const std::string prefix = kRangePrefix + name + "/";
-    for (const auto& [key, value] : m_storedRecords) {
-      if (key.compare(0, prefix.size(), prefix) != 0) {
-        continue;
-      }
-      const auto assignments = Unpack<std::vector<RangeAssignment>>(value);
-      if (!assignments.ok()) {
-        m_log.Write(LogLine("assignments-unreadable")
-                      .Add("key", key)
-                      .Add("why", assignments.status().ToString()));
-        continue;
-      }
-      for (const auto& assignment : *assignments) {
-        ledService.m_rangeManager.Load(assignment,
-                                       aNow + kPresumedLeaseDuration);
-      }
-    }
-    ledService.m_rangeManager.CoverAll(InitialRanges(EndpointCount(name)));
+    auto& rangeManager = ledService.m_rangeManager;
+    LoadAssignments(aNow, name, rangeManager);
+    rangeManager.CoverAll(InitialRanges(EndpointCount(name)));
     // This daemon may have no map yet. The other daemons request the blocks
     // that differ from theirs.
-    for (const auto& route : ledService.m_rangeManager.Routes()) {
+    for (const auto& route : rangeManager.Routes()) {
       m_engine.SetRange(name, route);
     }
   }
 }
 
+void
+Ownership::LoadAssignments(TimePoint aNow,
+                           const std::string& aService,
+                           RangeManager& aRangeManager)
+{
+  for (unsigned block = 0; block < kBlocks; ++block) {
+    const auto stored = m_storedRecords.find(BlockKey(aService, block));
+    const bool isStored = stored != m_storedRecords.end();
+    if (!isStored) {
+      continue;
+    }
+    const auto assignments =
+      Unpack<std::vector<RangeAssignment>>(stored->second.m_value.value_or(""));
+    if (!assignments.ok()) {
+      m_log.Write(LogLine("assignments-unreadable")
+                    .Add("key", stored->first)
+                    .Add("why", assignments.status().ToString()));
+      continue;
+    }
+    for (const auto& assignment : *assignments) {
+      aRangeManager.Load(assignment, aNow + kPresumedLeaseDuration);
+    }
+  }
+}
+
 std::vector<RangeManagerEndpoint>
 Ownership::ManagerEndpoints(TimePoint aNow, const std::string& aService)
 {
@@ -239,7 +243,7 @@
 Ownership::Plan()
 {
   const TimePoint now = BootClock::now();
-  if (!m_leadership.HasAuthority(now)) {
+  if (!m_leadership.HasAuthority(now) || m_reclaiming) {
     return;
   }
   for (auto& [name, ledService] : m_ledServices) {
@@ -309,12 +313,7 @@
     if (!ledService.m_rangeManager.HasToStore()) {
       continue;
     }
-    for (const auto& block : ledService.m_rangeManager.BeginStore()) {
-      m_appending.push_back(
-        { 0,
-          kRangePrefix + name + "/" + std::to_string(block.m_block),
-          Pack(block.m_assignments) });
-    }
+    AddBlocks(name, ledService.m_rangeManager.BeginStore());
   }
   if (m_appending.empty()) {
     return;
@@ -322,12 +321,29 @@
   m_appendBusy = true;
   ++m_sequence;
   m_appending.push_back(
-    { 0,
-      kLeaderKey,
-      Pack(m_leadership.RecordFor(now, m_claimTerm, m_sequence)) });
+    { 0, kLeaderKey, PackedRecord(now, m_claim.m_term, m_trustedFrom) });
   Append();
 }
 
+std::string
+Ownership::PackedRecord(TimePoint aNow, Term aTerm, Offset aTrustedFrom) const
+{
+  auto record = m_leadership.RecordFor(aNow, aTerm, m_sequence);
+  record.m_trustedFrom = aTrustedFrom;
+  return Pack(record);
+}
+
+/** Adds blocks of assignments to the records that are to be appended. */
+void
+Ownership::AddBlocks(const std::string& aService,
+                     const std::vector<RangeManager::StoreBlock>& aBlocks)
+{
+  for (const auto& block : aBlocks) {
+    m_appending.push_back(
+      { 0, BlockKey(aService, block.m_block), Pack(block.m_assignments) });
+  }
+}
+
 void
 Ownership::Append()
 {
@@ -345,7 +361,7 @@
 void
 Ownership::OnAppend(const AppendOutcome& aOutcome)
 {
-  if (!m_leadership.Leads()) {
+  if (!m_leadership.Leads() || !IsOfKnownEra(aOutcome.m_era)) {
     return;
   }
   switch (aOutcome.m_answer) {
@@ -380,20 +396,31 @@
   if (!m_leadership.Leads()) {
     return;
   }
-  if (aPage.m_answer != StoreAnswer::Ok) {
+  if (!IsOfKnownEra(aPage.m_era)) {
+    return;
+  }
+  if (aPage.m_answer != StoreAnswer::Ok || aPage.m_era != m_leadership.Era()) {
     m_storeTimer.Start(kStoreRetry);
     return;
   }
   for (const auto& record : aPage.m_records) {
-    if (record.m_key != kLeaderKey || !record.m_value) {
+    if (record.m_key != kLeaderKey) {
       continue;
     }
-    const auto leader = Unpack<LeaderRecord>(*record.m_value);
-    if (!leader.ok()) {
+    const auto leader = UnpackLeader(record);
+    if (!leader) {
       break;
     }
-    if (leader->m_leader != m_gossip.Self() || leader->m_term != m_claimTerm) {
-      m_leadership.OnRecord(BootClock::now(), *leader);
+    if (leader->m_era && *leader->m_era < m_leadership.Era()) {
+      // An append of before a restore reached the restored store late.
+      BeginReclaim();
+      return;
+    }
+    if (leader->m_leader != m_gossip.Self() ||
+        leader->m_term != m_claim.m_term) {
+      const TimePoint now = BootClock::now();
+      m_leadership.OnRecord(now, *leader);
+      m_leadership.Yield(now);
       StepDown("another daemon has claimed");
       return;
     }
@@ -413,7 +440,7 @@
   m_end = aEnd;
   // The store would have rejected the append if another daemon had claimed
   // leadership before.
-  m_leadership.OnTermConfirmed(m_appendSentAt);
+  m_leadership.OnTermConfirmed(m_appendSentAt, m_leadership.Era());
   m_appendedAt = now;
   m_appending.clear();
   m_appendBusy = false;
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -46,6 +46,12 @@
     leadership only once. */
 constexpr double kMinProcessorRatio = 2.0;
 constexpr Millis kMinTimeAsLeader{ 4000 };
+/** A leader that has to claim again after a restore of the store waits this
+   long for a daemon that has fallen silent. It is shorter than the authority,
+   in which the holders keep their keys. */
+constexpr Millis kSilentPeerWait{ 10'000 };
+/** Longest time from a daemon's last heartbeat to the beginning of a pause. */
+constexpr Millis kHeartbeatInterval{ 200 };
 /** A daemon that was paused receives the leader's next heartbeat within this
     time. */
 constexpr Millis kHeartbeatWaitAfterPause{ 300 };
@@ -113,9 +119,8 @@
     m_leaderHeartbeatAt = aNow;
     m_vacantSince.reset();
   }
-  if (m_leads && aRecord.m_leader != m_self) {
-    m_leads = false;
-    m_idleSince = aNow;
+  if (aRecord.m_leader != m_self) {
+    Yield(aNow);
   }
 }
 
@@ -143,9 +148,8 @@
     m_leaderHeartbeatAt = aNow;
     m_vacantSince.reset();
   }
-  if (m_leads && aLeads && aTerm > m_record.m_term) {
-    m_leads = false; // a later leader has claimed
-    m_idleSince = aNow;
+  if (aLeads && aTerm > m_record.m_term) {
+    Yield(aNow); // a later leader has claimed
   }
   m_term = std::max(m_term, aTerm);
   m_earlier.OnHeartbeat(aNow, aFrom, aTerm, aLeads);
@@ -167,8 +171,11 @@
 }
 
 void
-Leadership::OnPause(TimePoint aNow) noexcept
+Leadership::OnPause(TimePoint aFrom, TimePoint aNow) noexcept
 {
+  if (aNow >= aFrom + m_times.m_heartbeatTimeout - kHeartbeatInterval) {
+    m_pausedAt = aNow;
+  }
   m_leaderHeartbeatAt =
     std::max(m_leaderHeartbeatAt,
              aNow - HeartbeatTimeout(aNow) + kHeartbeatWaitAfterPause);
@@ -197,7 +204,6 @@
   return m_times.m_heartbeatTimeout * (1U << doublings);
 }
 
-/** Whether other hosts are known and none of them sends heartbeats. */
 bool
 Leadership::IsIsolated(TimePoint aNow) const
 {
@@ -208,6 +214,18 @@
            });
 }
 
+bool
+Leadership::HasHeardAllSince(TimePoint aSince, TimePoint aNow) const
+{
+  return std::all_of(
+    m_candidates.begin(), m_candidates.end(), [&](const auto& aOne) {
+      const auto& candidate = aOne.second;
+      return candidate.m_lastHeartbeatAt == TimePoint{} ||
+             candidate.m_lastHeartbeatAt >= aSince || candidate.m_stopping ||
+             aNow >= candidate.m_lastHeartbeatAt + kSilentPeerWait;
+    });
+}
+
 /** Returns the time since which the fleet is leaderless. It may lie in the
     future, when the current leader's heartbeat would time out. */
 TimePoint
@@ -443,23 +461,62 @@
 }
 
 void
-Leadership::OnClaimed(TimePoint aNow, Term aTerm)
+Leadership::OnEra(StoreEra aEra) noexcept
+{
+  if (aEra > m_era) {
+    m_sawRestore = m_sawRestore || m_era > 0;
+    m_era = aEra;
+  }
+}
+
+bool
+Leadership::KnowsEarlierLeaders(
+  const std::optional<LeaderRecord>& aStored) const noexcept
+{
+  // The store shows every claim that a daemon could hear of, unless it has lost
+  // some.
+  const bool isLatest = m_term <= (aStored ? aStored->m_term : Term{ 0 });
+  const bool isOfEra =
+    aStored && aStored->m_era ? *aStored->m_era == m_era : !m_sawRestore;
+  return isLatest && isOfEra;
+}
+
+void
+Leadership::OnClaimed(TimePoint aNow, const TermClaim& aClaim)
 {
   if (m_record.m_term != 0) {
     m_earlier.Add(m_record.m_leader, m_record.m_term, PredecessorExpiry(aNow));
   }
+  if (!aClaim.m_knowsEarlier) {
+    // Stands for the leaders whose claims were lost. Their authority ends by
+    // then, since no confirmation of this era counts for their terms. No leader
+    // has the term, so no report lowers the expiry.
+    m_earlier.Add(
+      {}, FirstTermOf(m_era) - 1, aNow + m_times.m_authority + GrantLifetime());
+  }
   m_leads = true;
   m_ledSince = aNow;
-  m_term = std::max(m_term, aTerm);
-  m_record = { aTerm, m_self, 0, 0 };
-  m_confirmedAt = aNow;
+  m_term = std::max(m_term, aClaim.m_term);
+  m_termEra = m_era;
+  m_record = { aClaim.m_term, m_self, 0, 0 };
+  m_confirmedAt = aClaim.m_sentAt;
   m_resignedAt = {};
 }
 
+void
+Leadership::OnReclaimed(TimePoint aSentAt, Term aTerm) noexcept
+{
+  m_term = std::max(m_term, aTerm);
+  m_termEra = m_era;
+  m_record.m_term = aTerm;
+  m_confirmedAt = std::max(m_confirmedAt, aSentAt);
+}
+
 LeaderRecord
 Leadership::RecordFor(TimePoint aNow, Term aTerm, std::uint64_t aSequence) const
 {
   LeaderRecord record{ aTerm, m_self, aSequence, 0 };
+  record.m_era = m_era;
   record.m_earlier = m_earlier.RemainingLeaders(aNow);
   for (const auto& leader : record.m_earlier) {
     record.m_earlierGrantsMs =
@@ -469,9 +526,19 @@
 }
 
 void
-Leadership::OnTermConfirmed(TimePoint aConfirmedAt) noexcept
+Leadership::OnTermConfirmed(TimePoint aConfirmedAt, StoreEra aEra) noexcept
+{
+  if (aEra == m_termEra) {
+    m_confirmedAt = std::max(m_confirmedAt, aConfirmedAt);
+  }
+}
+
+void
+Leadership::Yield(TimePoint aNow) noexcept
 {
-  m_confirmedAt = std::max(m_confirmedAt, aConfirmedAt);
+  if (std::exchange(m_leads, false)) {
+    m_idleSince = aNow;
+  }
 }
 
 void
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -4,6 +4,7 @@
 #include "sapphirehook/core/ids.hpp"
 #include "sapphirehook/core/time.hpp"
 #include "sapphirehook/keys/earlier_grants.hpp"
+#include "sapphirehook/store/store_position.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -30,12 +31,21 @@
   /** The remaining time of each earlier leader's grants. Daemons of earlier
       versions leave the list empty. */
   std::vector<EarlierLeader> m_earlier = {};
+  /** Era of the store in which the term was claimed. Empty in records of
+      daemons of earlier versions. */
+  std::optional<StoreEra> m_era = std::nullopt;
+  /** Assignments before this offset may be out of date, because the store was
+      restored from an older copy and no leader of before has written its
+      assignments again. */
+  Offset m_trustedFrom = 0;
 
   MSGPACK_DEFINE_ARRAY(m_term,
                        m_leader,
                        m_sequence,
                        m_earlierGrantsMs,
-                       m_earlier)
+                       m_earlier,
+                       m_era,
+                       m_trustedFrom)
   auto operator<=>(const LeaderRecord&) const = default;
 };
 
@@ -62,6 +72,18 @@
   unsigned m_driftPpm = 20'000;
 };
 
+/** A claim of a term. */
+struct TermClaim
+{
+  Term m_term = 0;
+  /** When the claim was sent to the store. */
+  TimePoint m_sentAt{};
+  /** Whether the stored record named the last earlier leader. Otherwise the
+      store may have lost claims and assignments, and the grants of earlier
+      leaders count as valid for as long as any of them may have acted. */
+  bool m_knowsEarlier = true;
+};
+
 /** State of another daemon that may become the leader. */
 struct Candidate
 {
@@ -74,11 +96,26 @@
   double m_processorShare = 0.0;
 };
 
+/** Returns the lowest term that may be claimed in an era of the store. It is
+    above all terms of earlier eras, also of claims that a restore of the store
+    has lost, and so are the fences of the term. */
+[[nodiscard]] constexpr Term
+FirstTermOf(StoreEra aEra) noexcept
+{
+  constexpr unsigned kTermsPerEraBits = 20;
+  return (aEra << kTermsPerEraBits) + 1;
+}
+
 /** Decides when this daemon should claim leadership, whether it may act as the
     leader, and when the grants of earlier leaders expire. A daemon claims a
     term with a conditional append, so each term has one leader. An earlier
     leader may go on until its authority ends. It does no harm meanwhile: it
-    cannot store a move, and endpoints refuse its lower fences. */
+    cannot store a move, and endpoints refuse its lower fences.
+
+    A restore of the store from an older copy loses claims and assignments. A
+    leader that lives through it claims a new term and writes all its
+    assignments again. Any other daemon that claims first cannot know who was
+    granted what, and waits until every grant of before has expired. */
 class Leadership
 {
 public:
@@ -101,8 +138,9 @@
                    bool aLeads,
                    const Candidate& aCandidate);
 
-  /** This daemon was paused until now and received no heartbeats meanwhile. */
-  void OnPause(TimePoint aNow) noexcept;
+  /** This daemon was paused from aFrom until now and received no heartbeats
+      meanwhile. */
+  void OnPause(TimePoint aFrom, TimePoint aNow) noexcept;
 
   /** Sets the successors that the leader has named, in the order in which they
       should claim. */
@@ -149,12 +187,58 @@
   /** Whether another daemon could claim if this leader resigned now. */
   [[nodiscard]] bool CanHandOver(TimePoint aNow) const;
 
-  /** The store has accepted this daemon's claim of a term. */
-  void OnClaimed(TimePoint aNow, Term aTerm);
+  /** Takes the latest known era of the store. */
+  void OnEra(StoreEra aEra) noexcept;
+
+  /** The store was restored while this daemon or a peer followed it. */
+  void OnRestoreSeen() noexcept { m_sawRestore = true; }
+
+  /** Whether the stored leader record names the last leader that may have
+      granted keys. Otherwise a restore of the store has lost later claims, or
+      may have. */
+  [[nodiscard]] bool KnowsEarlierLeaders(
+    const std::optional<LeaderRecord>& aStored) const noexcept;
+
+  /** Returns the latest known era of the store. */
+  [[nodiscard]] StoreEra Era() const noexcept { return m_era; }
+
+  /** Returns the term to claim next: above every known one, and above all that
+      may have been claimed in earlier eras of the store. */
+  [[nodiscard]] Term NextTerm() const noexcept
+  {
+    return std::max(m_term + 1, FirstTermOf(m_era));
+  }
+
+  /** Whether this leader's term is the latest although the store may have lost
+      later claims: no daemon has reported a later term, and since the store
+      last confirmed the term this daemon has not been paused for so long that
+      others replace it. */
+  [[nodiscard]] bool IsLatest() const noexcept
+  {
+    return m_leads && m_term == m_record.m_term && m_pausedAt <= m_confirmedAt;
+  }
+
+  /** Whether each daemon that may have claimed recently has been heard since
+      aSince, so that its highest term is known. Daemons that have not been
+     heard for long, or are stopping, do not count. */
+  [[nodiscard]] bool HasHeardAllSince(TimePoint aSince, TimePoint aNow) const;
+
+  /** Whether other hosts are known and none of them sends heartbeats. */
+  [[nodiscard]] bool IsIsolated(TimePoint aNow) const;
+
+  /** The store has accepted this daemon's claim in the present era. */
+  void OnClaimed(TimePoint aNow, const TermClaim& aClaim);
+
+  /** The store has accepted this leader's claim of a new term in the present
+      era, which was sent at aSentAt. */
+  void OnReclaimed(TimePoint aSentAt, Term aTerm) noexcept;
 
-  /** The store has confirmed that this daemon's term is the latest; the
-      confirmation is as of aConfirmedAt. */
-  void OnTermConfirmed(TimePoint aConfirmedAt) noexcept;
+  /** The store has confirmed in an era that this daemon's term is the latest;
+      the confirmation is as of aConfirmedAt. */
+  void OnTermConfirmed(TimePoint aConfirmedAt, StoreEra aEra) noexcept;
+
+  /** Gives up leadership because another daemon leads or has led since. */
+  void Yield(TimePoint aNow) noexcept;
 
   /** Gives up leadership. */
   void Resign(TimePoint aNow) noexcept;
@@ -207,7 +291,6 @@
 private:
   void OnLeaderChange(TimePoint aNow);
   [[nodiscard]] Millis HeartbeatTimeout(TimePoint aNow) const;
-  [[nodiscard]] bool IsIsolated(TimePoint aNow) const;
   [[nodiscard]] TimePoint LeaderlessSince(TimePoint aNow) const;
   [[nodiscard]] TimePoint PredecessorExpiry(TimePoint aNow) const;
   [[nodiscard]] TimePoint OwnHostExpiry(const HostId& aLeader) const;
@@ -241,6 +324,13 @@
   bool m_leads = false;
   TimePoint m_ledSince{};
   TimePoint m_confirmedAt{};
+  /** Latest known era of the store, and the era in which this leader's term was
+      claimed. */
+  StoreEra m_era = 0;
+  StoreEra m_termEra = 0;
+  /** End of the last pause after which another daemon may lead. */
+  TimePoint m_pausedAt{};
+  bool m_sawRestore = false;
   TimePoint m_startedAt;
   /** When this daemon started, or last ceased to lead. */
   TimePoint m_idleSince;
--- a/src/sapphirehook/keys/range_manager.hpp
+++ b/src/sapphirehook/keys/range_manager.hpp
@@ -198,6 +198,12 @@
   /** The store has accepted the blocks that BeginStore returned. */
   void OnStored(TimePoint aNow);
 
+  /** Makes all further fences at least aFirst, the first one of a new term. */
+  void RaiseFences(Fence aFirst) noexcept
+  {
+    m_nextFence = std::max(m_nextFence, aFirst);
+  }
+
   /** A view of a range for planning. */
   struct Held
   {
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -55,10 +55,10 @@
 {
   auto leadership = Follower();
   const LeadershipTimes times;
-  leadership.OnClaimed(At(2000), 1);
+  leadership.OnClaimed(At(2000), { 1, At(2000) });
   CHECK(leadership.HasAuthority(At(2000) + times.m_authority - Millis(1)));
   CHECK_FALSE(leadership.HasAuthority(At(2000) + times.m_authority));
-  leadership.OnTermConfirmed(At(3000));
+  leadership.OnTermConfirmed(At(3000), 0);
   CHECK(leadership.HasAuthority(At(2000) + times.m_authority));
   leadership.OnRecord(At(4000), { 2, kOther, 0, 0 });
   CHECK_FALSE(leadership.Leads());
@@ -75,7 +75,7 @@
   leadership.OnRecord(At(1500), { 1, kOther, 0, 0 });
   SECTION("without a report of its end")
   {
-    leadership.OnClaimed(At(2000), 2);
+    leadership.OnClaimed(At(2000), { 2, At(2000) });
     CHECK(leadership.PreviousGrantsExpiry() ==
           At(2000) + times.m_authority + grantLifetime);
   }
@@ -85,7 +85,7 @@
   {
     leadership.OnHeartbeat(
       At(1800), { "a", 21 }, 1, false, { true, At(1600), false, {}, 0.2 });
-    leadership.OnClaimed(At(2000), 2);
+    leadership.OnClaimed(At(2000), { 2, At(2000) });
     CHECK(leadership.PreviousGrantsExpiry() ==
           At(1800) + times.m_longestCut + grantLifetime);
   }
@@ -93,7 +93,7 @@
   {
     leadership.OnHeartbeat(
       At(1800), kOther, 1, false, { true, At(1600), false, {}, 0.2 });
-    leadership.OnClaimed(At(2000), 2);
+    leadership.OnClaimed(At(2000), { 2, At(2000) });
     CHECK(leadership.PreviousGrantsExpiry() == At(1800) + grantLifetime);
   }
   SECTION("when its resignation arrives before its record is read")
@@ -101,14 +101,14 @@
     auto other = Follower();
     other.OnResigned(At(1400), kOther, 1, Millis(4080));
     other.OnRecord(At(1500), { 1, kOther, 0, 0 });
-    other.OnClaimed(At(2000), 2);
+    other.OnClaimed(At(2000), { 2, At(2000) });
     CHECK(other.PreviousGrantsExpiry() == At(1400) + Millis(4080));
   }
   SECTION("when the record names still earlier grants")
   {
     leadership.OnResigned(At(1600), kOther, 1, Millis(100));
     leadership.OnRecord(At(1500), { 1, kOther, 1, 9000 });
-    leadership.OnClaimed(At(2000), 2);
+    leadership.OnClaimed(At(2000), { 2, At(2000) });
     CHECK(leadership.PreviousGrantsExpiry() == At(1500) + Millis(9000));
   }
 }
@@ -118,7 +118,7 @@
           "[keys]")
 {
   auto leadership = Follower();
-  leadership.OnClaimed(At(2000), 1);
+  leadership.OnClaimed(At(2000), { 1, At(2000) });
   leadership.OnHeartbeat(
     At(4800), kOther, 1, false, { false, {}, false, {}, 0.2 });
   CHECK_FALSE(leadership.ShouldResign(At(5000)));
@@ -132,7 +132,7 @@
   leadership.OnHeartbeat(
     At(6400), kOther, 1, false, { true, At(6300), false, {}, 0.2 });
   CHECK(leadership.ShouldResign(At(6500)));
-  leadership.OnTermConfirmed(At(6500));
+  leadership.OnTermConfirmed(At(6500), 0);
   CHECK_FALSE(leadership.ShouldResign(At(6600)));
 }
 
@@ -154,7 +154,7 @@
   auto leadership = Follower();
   leadership.OnResignationReported(1, At(5000));
   leadership.OnRecord(At(1500), { 1, kOther, 0, 0 });
-  leadership.OnClaimed(At(2000), 2);
+  leadership.OnClaimed(At(2000), { 2, At(2000) });
   CHECK(leadership.PreviousGrantsExpiry() == At(5000));
 }
 
@@ -217,7 +217,7 @@
           "[keys]")
 {
   auto leadership = Follower();
-  leadership.OnPause(At(9000));
+  leadership.OnPause(At(6500), At(9000));
   CHECK_FALSE(leadership.ShouldClaim(At(9000)));
   CHECK(leadership.ShouldClaim(At(9300)));
 }
@@ -227,9 +227,9 @@
   "[keys]")
 {
   auto leadership = Follower();
-  leadership.OnClaimed(At(2000), 1);
+  leadership.OnClaimed(At(2000), { 1, At(2000) });
   const auto confirmAndReceive = [&](int aAt, double aShare) {
-    leadership.OnTermConfirmed(At(aAt));
+    leadership.OnTermConfirmed(At(aAt), 0);
     leadership.OnHeartbeat(
       At(aAt), kOther, 1, false, { true, At(aAt), false, {}, aShare });
   };
@@ -246,7 +246,7 @@
 TEST_CASE("a stopping leader stays while no other daemon can claim", "[keys]")
 {
   auto leadership = Follower();
-  leadership.OnClaimed(At(2000), 1);
+  leadership.OnClaimed(At(2000), { 1, At(2000) });
   CHECK_FALSE(leadership.CanHandOver(At(2100)));
   leadership.OnHeartbeat(
     At(2100), kOther, 1, false, { true, At(1500), false, {}, 0.2 });
@@ -373,7 +373,7 @@
   leadership.SetSuccessors({ "b", "c", "d" });
   leadership.OnHeartbeat(
     At(1900), kOther, 1, false, { true, At(1900), false, {}, 0.2 });
-  leadership.OnClaimed(At(2000), 2);
+  leadership.OnClaimed(At(2000), { 2, At(2000) });
   CHECK(leadership.ChooseSuccessors(At(2100)) ==
         std::vector<std::string>{ "a", "c", "d" });
   leadership.OnHeartbeat(
@@ -415,7 +415,7 @@
   leadership.OnRecord(At(1500), record);
   leadership.OnHeartbeat(
     At(1600), kOther, 2, false, { true, At(1600), false, {}, 0.2 });
-  leadership.OnClaimed(At(3000), 3);
+  leadership.OnClaimed(At(3000), { 3, At(3000) });
   CHECK(leadership.PreviousGrantsExpiry() ==
         At(1000) + times.m_longestCut + grantLifetime);
 
@@ -423,7 +423,7 @@
   // at the latest.
   auto successor = Follower();
   successor.OnRecord(At(1500), { 2, { "b", 9 }, 0, 0 });
-  successor.OnClaimed(At(3000), 3);
+  successor.OnClaimed(At(3000), { 3, At(3000) });
   CHECK(successor.PreviousGrantsExpiry() ==
         At(1000) + times.m_longestCut + grantLifetime);
 }
@@ -433,9 +433,9 @@
 {
   const LeadershipTimes times;
   auto leadership = Follower();
-  leadership.OnClaimed(At(1500), 1);
+  leadership.OnClaimed(At(1500), { 1, At(1500) });
   leadership.Resign(At(2000));
-  leadership.OnClaimed(At(9000), 2);
+  leadership.OnClaimed(At(9000), { 2, At(9000) });
   CHECK(leadership.PreviousGrantsExpiry() ==
         At(2000) + times.m_commandTimeout +
           WithDrift(times.m_leaseDuration, times.m_driftPpm));
@@ -449,7 +449,7 @@
     times.m_commandTimeout + WithDrift(times.m_leaseDuration, times.m_driftPpm);
   auto leadership = Follower();
   leadership.OnRecord(At(1500), { 1, kOther, 0, 0 });
-  leadership.OnClaimed(At(2300), 2);
+  leadership.OnClaimed(At(2300), { 2, At(2300) });
   CHECK(leadership.PreviousGrantsExpiry() ==
         At(2300) + times.m_authority + grantLifetime);
   CHECK(leadership.RecordFor(At(2300), 2, 0).m_earlier.size() == 1);
@@ -458,3 +458,148 @@
   CHECK(leadership.PreviousGrantsExpiry() == At(2500) + grantLifetime);
   CHECK(leadership.RecordFor(At(2500) + grantLifetime, 2, 1).m_earlier.empty());
 }
+
+// Guards against fences that are used twice (review/8): a restore of the store
+// takes a claim back, and another daemon claims the same term.
+TEST_CASE("terms of a later era of the store are above all of earlier eras",
+          "[keys]")
+{
+  auto leadership = Follower();
+  CHECK(leadership.NextTerm() == 1);
+  leadership.OnEra(1);
+  CHECK(leadership.NextTerm() == FirstTermOf(1));
+  leadership.OnClaimed(At(2000), { leadership.NextTerm(), At(2000) });
+  CHECK(leadership.NextTerm() == FirstTermOf(1) + 1);
+  leadership.OnEra(2);
+  CHECK(leadership.NextTerm() == FirstTermOf(2));
+  CHECK(FirstTermOf(2) > FirstTermOf(1) + 1'000'000);
+  leadership.OnEra(1);
+  CHECK(leadership.Era() == 2);
+}
+
+TEST_CASE("a confirmation of a later era does not confirm the term", "[keys]")
+{
+  auto leadership = Follower();
+  const LeadershipTimes times;
+  leadership.OnEra(1);
+  leadership.OnClaimed(At(2000), { leadership.NextTerm(), At(1990) });
+  leadership.OnEra(2);
+  leadership.OnTermConfirmed(At(9000), 2);
+  CHECK_FALSE(leadership.HasAuthority(At(1990) + times.m_authority));
+  leadership.OnReclaimed(At(9500), leadership.NextTerm());
+  CHECK(leadership.HasAuthority(At(9500) + times.m_authority - Millis(1)));
+  leadership.OnTermConfirmed(At(9900), 2);
+  CHECK(leadership.HasAuthority(At(9900) + times.m_authority - Millis(1)));
+}
+
+TEST_CASE("a leader that was paused since its last confirmation may have been "
+          "replaced",
+          "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnClaimed(At(2000), { 1, At(2000) });
+  leadership.OnPause(At(3000), At(3400));
+  CHECK(leadership.IsLatest());
+  leadership.OnPause(At(3400), At(4000));
+  CHECK_FALSE(leadership.IsLatest());
+  leadership.OnTermConfirmed(At(4100), 0);
+  CHECK(leadership.IsLatest());
+}
+
+TEST_CASE("a leader that knows of a later term does not claim again", "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnClaimed(At(2000), { 1, At(2000) });
+  CHECK(leadership.IsLatest());
+  // A follower has heard of a claim that the store has lost.
+  leadership.OnHeartbeat(
+    At(2500), kOther, 2, false, { true, At(2500), false, {}, 0.2 });
+  CHECK(leadership.Leads());
+  CHECK_FALSE(leadership.IsLatest());
+  CHECK_FALSE(leadership.IsIsolated(At(3000)));
+  CHECK(leadership.IsIsolated(At(4000)));
+}
+
+TEST_CASE("a leader that claims again waits for daemons that fell silent",
+          "[keys]")
+{
+  auto leadership = Follower();
+  leadership.OnClaimed(At(2000), { 1, At(2000) });
+  leadership.OnHost("never-heard", 0.2);
+  leadership.OnHeartbeat(At(2500), kOther, 1, false, {});
+  leadership.OnHeartbeat(
+    At(2500), { "c", 3 }, 1, false, { true, {}, true, {}, 0.2 });
+  CHECK_FALSE(leadership.HasHeardAllSince(At(3000), At(3500)));
+  SECTION("until they are heard")
+  {
+    leadership.OnHeartbeat(At(3600), kOther, 1, false, {});
+    CHECK(leadership.HasHeardAllSince(At(3000), At(3600)));
+  }
+  SECTION("or for some time")
+  {
+    CHECK_FALSE(leadership.HasHeardAllSince(At(3000), At(12'499)));
+    CHECK(leadership.HasHeardAllSince(At(3000), At(12'500)));
+  }
+}
+
+// Guards against two holders (review/7): a new leader trusted the record of a
+// restored store, which lacked the last leader.
+TEST_CASE("after a restore the first leader waits for leaders it cannot know",
+          "[keys]")
+{
+  const LeadershipTimes times;
+  const auto longest = times.m_authority + times.m_commandTimeout +
+                       WithDrift(times.m_leaseDuration, times.m_driftPpm);
+  auto leadership = Follower();
+  leadership.OnEra(1);
+  LeaderRecord record{ FirstTermOf(1), kOther, 0, 0 };
+  SECTION("a record of the present era names the last leader")
+  {
+    record.m_era = 1;
+    leadership.OnRecord(At(1500), record);
+    CHECK(leadership.KnowsEarlierLeaders(record));
+    SECTION("unless a later term has been heard of")
+    {
+      leadership.OnHeartbeat(
+        At(1600), { "c", 3 }, record.m_term + 1, false, {});
+      CHECK_FALSE(leadership.KnowsEarlierLeaders(record));
+    }
+  }
+  SECTION("a record of an earlier era may come from the copy")
+  {
+    record.m_era = 1;
+    leadership.OnEra(2);
+    leadership.OnRecord(At(1500), record);
+    REQUIRE_FALSE(leadership.KnowsEarlierLeaders(record));
+    // The recorded leader has stopped, but another one may have followed it.
+    leadership.OnResignationReported(record.m_term, At(1600));
+    leadership.OnClaimed(At(2000), { leadership.NextTerm(), At(1990), false });
+    CHECK(leadership.PreviousGrantsExpiry() == At(2000) + longest);
+    SECTION("and the next leader counts the rest of that time")
+    {
+      auto stored = leadership.RecordFor(At(5000), FirstTermOf(2), 1);
+      CHECK(stored.m_era == 2U);
+      Leadership next(times, kOther, 0.2, At(5000));
+      next.OnEra(2);
+      next.OnRecord(At(5000), stored);
+      CHECK(next.KnowsEarlierLeaders(stored));
+      next.OnClaimed(At(5500), { next.NextTerm(), At(5500) });
+      next.OnResignationReported(FirstTermOf(2), At(6000));
+      CHECK(next.PreviousGrantsExpiry() >= At(2000) + longest);
+      CHECK(next.PreviousGrantsExpiry() <= At(2001) + longest);
+    }
+  }
+  SECTION("a store without a record is new, or has lost the first claim")
+  {
+    CHECK(leadership.KnowsEarlierLeaders(std::nullopt));
+    leadership.OnRestoreSeen();
+    CHECK_FALSE(leadership.KnowsEarlierLeaders(std::nullopt));
+  }
+  SECTION("a record of an earlier version is trusted unless a restore was seen")
+  {
+    leadership.OnRecord(At(1500), record);
+    CHECK(leadership.KnowsEarlierLeaders(record));
+    leadership.OnEra(2);
+    CHECK_FALSE(leadership.KnowsEarlierLeaders(record));
+  }
+}
--- a/test/sapphirehook/keys/range_simulation.hpp
+++ b/test/sapphirehook/keys/range_simulation.hpp
@@ -223,7 +223,7 @@
     }
     ++m_terms;
     ++m_term;
-    process.m_leadership->OnClaimed(m_now, m_term);
+    process.m_leadership->OnClaimed(m_now, { m_term, m_now });
     m_record = process.m_leadership->RecordFor(m_now, m_term, 0);
     Leader leader;
     leader.m_term = m_term;
@@ -366,7 +366,7 @@
         continue;
       }
       if (process.m_leads->m_term == m_term) {
-        process.m_leadership->OnTermConfirmed(m_now - Millis(50));
+        process.m_leadership->OnTermConfirmed(m_now - Millis(50), 0);
       }
       TickLeader(process);
     }
