Ownership: no leader trusts assignments that a restored store may have lost

A restore of the store took assignments back. The leader went on from memory and never stored them again. Its successor read the old assignments and granted the keys to their former holders, while the present ones still had leases.

Cause: a successor took the stored block for the only endpoint that may hold a key, which holds only while the store loses nothing.

Change: a leader that claims again after a restore stores all its assignments in the same conditional append. The leader's record names the era of its claim and the offset from which assignments are trusted. A daemon that claims without such a record (no leader lived through the restore, or a later term is known than the stored one) does not trust the blocks: no key is granted until every grant that any earlier leader may have made has expired, 15 s of authority, a lease and the command timeout after the claim. The keys then go to the endpoints that are named, and the rest of the wait is stored for later leaders. A block that cannot be read is treated the same way.

The search has restores from copies of up to 6 s, which each daemon learns of at its own time, also twice in a row, with pauses, kills, cuts from peers and from the store. On the way it found two leaders that wrongly counted as having lived through a restore: one that was paused, and one whose successor it had not heard of; hence the conditions for claiming again.

--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -71,10 +71,15 @@
     auto& rangeManager = ledService.m_rangeManager;
     LoadAssignments(aNow, name, rangeManager);
     rangeManager.CoverAll(InitialRanges(EndpointCount(name)));
-    // This daemon may have no map yet. The other daemons request the blocks
-    // that differ from theirs.
-    for (const auto& route : rangeManager.Routes()) {
-      m_engine.SetRange(name, route);
+    // Assignments that may be out of date do not replace the map of the last
+    // leader, whose endpoints may still hold their keys.
+    if (!rangeManager.HasUnknownHolders(aNow) ||
+        !m_engine.Ranges(name).IsComplete()) {
+      // This daemon may have no map yet. The other daemons request the blocks
+      // that differ from theirs.
+      for (const auto& route : rangeManager.Routes()) {
+        m_engine.SetRange(name, route);
+      }
     }
   }
 }
@@ -87,6 +92,10 @@
   for (unsigned block = 0; block < kBlocks; ++block) {
     const auto stored = m_storedRecords.find(BlockKey(aService, block));
     const bool isStored = stored != m_storedRecords.end();
+    if (m_loadTrustedFrom > 0 &&
+        (!isStored || stored->second.m_offset < m_loadTrustedFrom)) {
+      aRangeManager.SetHoldersUnknown(block);
+    }
     if (!isStored) {
       continue;
     }
@@ -96,6 +105,7 @@
       m_log.Write(LogLine("assignments-unreadable")
                     .Add("key", stored->first)
                     .Add("why", assignments.status().ToString()));
+      aRangeManager.SetHoldersUnknown(block);
       continue;
     }
     for (const auto& assignment : *assignments) {
--- a/src/sapphirehook/gateway/ownership_restore.cpp
+++ b/src/sapphirehook/gateway/ownership_restore.cpp
@@ -2,6 +2,7 @@
 
 #include "sapphirehook/gateway/internal/ownership_records.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // The part of Ownership that handles a restore of the store from an older copy.
@@ -124,8 +125,20 @@
     OnReclaimed(aPage.m_end); // the answer to the append was lost
     return;
   }
+  const bool waits = std::any_of(
+    m_ledServices.begin(), m_ledServices.end(), [&](const auto& aOne) {
+      return aOne.second.m_rangeManager.HasUnknownHolders(now);
+    });
   m_appending.clear();
-  m_reclaimTrustedFrom = aPage.m_end + 1;
+  m_reclaimTrustedFrom = aPage.m_end;
+  if (waits) {
+    // This leader does not know the holders of all keys yet either.
+    ++m_reclaimTrustedFrom;
+  } else {
+    for (const auto& [name, ledService] : m_ledServices) {
+      AddBlocks(name, ledService.m_rangeManager.AllBlocks());
+    }
+  }
   ++m_sequence;
   m_reclaimTerm = m_leadership.NextTerm();
   m_appending.push_back(
--- a/src/sapphirehook/keys/range_manager.hpp
+++ b/src/sapphirehook/keys/range_manager.hpp
@@ -70,6 +70,9 @@
   /** Adjacent ranges are merged only while no command for either of them is in
       flight or may still be executed. */
   static constexpr bool kMergeIdleOnly = true;
+  /** A range whose stored assignment may be out of date has no holder only once
+      the grants of all earlier leaders have expired. */
+  static constexpr bool kWaitForUnknownHolder = true;
 };
 
 /** State of an endpoint that may hold ranges. */
@@ -131,6 +134,12 @@
                     Fence aFirstFence,
                     TimePoint aPreviousGrantsExpiry);
 
+  /** Declares that the stored assignments of a block may be out of date. Any
+      endpoint may hold its keys until the grants of earlier leaders have
+      expired. They then go to the endpoints that the assignments name, if
+      possible. Precedes the calls of Load and CoverAll. */
+  void SetHoldersUnknown(unsigned aBlock) { m_unknownBlocks.insert(aBlock); }
+
   /** Adds a stored assignment. The owner is presumed to hold the range until
       aPresumedUntil, by a grant of an earlier leader, unless it answers
       otherwise. */
@@ -195,7 +204,15 @@
       change, each with all its assignments. */
   [[nodiscard]] std::vector<StoreBlock> BeginStore();
 
-  /** The store has accepted the blocks that BeginStore returned. */
+  /** Returns all blocks, including the changes that BeginStore has returned and
+      that are not stored yet. */
+  [[nodiscard]] std::vector<StoreBlock> AllBlocks() const;
+
+  /** Whether ranges wait because their stored assignment may be out of date. */
+  [[nodiscard]] bool HasUnknownHolders(TimePoint aNow) const;
+
+  /** The store has accepted the blocks that BeginStore or AllBlocks returned.
+   */
   void OnStored(TimePoint aNow);
 
   /** Makes all further fences at least aFirst, the first one of a new term. */
@@ -262,6 +279,11 @@
     TimePoint m_confirmAfter{};
     bool m_granted = false;
     std::string m_handover;
+    /** Any endpoint may hold the range until m_earlierExpiry. m_owner is empty.
+     */
+    bool m_holderUnknown = false;
+    /** Endpoint that the range should go to then. */
+    EndpointIncarnation m_preferred;
   };
 
   [[nodiscard]] const RangeManagerEndpoint* Endpoint(
@@ -280,6 +302,14 @@
       round. */
   void PlanEvacuation(TimePoint aNow);
   [[nodiscard]] bool MayHaveHolder(const Range& aRange) const;
+  /** Whether any endpoint may hold the range. */
+  [[nodiscard]] static bool IsHolderUnknown(TimePoint aNow,
+                                            const Range& aRange) noexcept
+  {
+    return Rules::kWaitForUnknownHolder && aRange.m_holderUnknown &&
+           aNow < aRange.m_earlierExpiry;
+  }
+  void AppendBlock(std::vector<StoreBlock>& aBlocks, unsigned aBlock) const;
   [[nodiscard]] static TimePoint LeaseExpiry(const Range& aRange) noexcept
   {
     return std::max(aRange.m_latestExpiry, aRange.m_earlierExpiry);
@@ -298,6 +328,7 @@
            m_confirmedAt >= aRange.m_confirmAfter;
   }
   void Publish(const Range& aRange);
+  [[nodiscard]] static RangeRoute RouteOf(const Range& aRange);
   void SplitBefore(Key aKey);
   void SplitForRedistribution(KeyRange aRange);
   [[nodiscard]] bool CanMerge(TimePoint aNow,
@@ -318,6 +349,7 @@
   TimePoint m_confirmedAt{};
   std::uint64_t m_nextId = 1;
   std::map<Key, Range> m_ranges;
+  std::set<unsigned> m_unknownBlocks;
   std::map<EndpointIncarnation, RangeManagerEndpoint> m_endpoints;
   std::map<EndpointIncarnation, double> m_keyCounts;
   bool m_keysCounted = false;
--- a/src/sapphirehook/keys/range_manager_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_impl.hpp
@@ -44,6 +44,10 @@
   range.m_earlierExpiry = m_previousGrantsExpiry;
   range.m_granted = true;
   range.m_expectedExpiry = aPresumedUntil;
+  if (m_unknownBlocks.contains(range.m_range.m_first / kBlockKeys)) {
+    range.m_holderUnknown = true;
+    range.m_preferred = std::exchange(range.m_owner, {});
+  }
   m_ranges.insert_or_assign(range.m_range.m_first, range);
 }
 
@@ -176,9 +180,18 @@
 void
 BasicRangeManager<Rules>::Publish(const Range& aRange)
 {
+  m_toPublish.push_back(RouteOf(aRange));
+}
+
+template<typename Rules>
+RangeRoute
+BasicRangeManager<Rules>::RouteOf(const Range& aRange)
+{
+  const auto& holder =
+    aRange.m_holderUnknown ? aRange.m_preferred : aRange.m_owner;
   const auto& endpoint =
-    aRange.m_phase == Phase::Held ? aRange.m_owner : aRange.m_target;
-  m_toPublish.push_back({ aRange.m_range, endpoint.m_name, aRange.m_granted });
+    aRange.m_phase == Phase::Held ? holder : aRange.m_target;
+  return { aRange.m_range, endpoint.m_name, aRange.m_granted };
 }
 
 template<typename Rules>
@@ -336,6 +349,9 @@
   if (aRange.m_granted && aNow >= aRange.m_expectedExpiry) {
     SetGranted(aRange, false);
   }
+  if (IsHolderUnknown(aNow, aRange)) {
+    return;
+  }
   const bool waitsForEvacuation = EvacuateBy(aRange) && m_evacuationMoves == 0;
   if (!OwnerIsUsable(aRange) && !waitsForEvacuation) {
     // A range that nobody has held yet has its initial size.
@@ -439,9 +455,7 @@
   std::vector<RangeRoute> all;
   all.reserve(m_ranges.size());
   for (const auto& [first, range] : m_ranges) {
-    const auto& endpoint =
-      range.m_phase == Phase::Held ? range.m_owner : range.m_target;
-    all.push_back({ range.m_range, endpoint.m_name, range.m_granted });
+    all.push_back(RouteOf(range));
   }
   return all;
 }
--- a/src/sapphirehook/keys/range_manager_ranges_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_ranges_impl.hpp
@@ -39,6 +39,9 @@
       std::min({ limit, (first / size + 1) * size, blockEnd });
     Range range;
     range.m_range = { static_cast<Key>(first), static_cast<Key>(end - 1) };
+    range.m_holderUnknown = m_unknownBlocks.contains(first / kBlockKeys);
+    range.m_earlierExpiry =
+      range.m_holderUnknown ? m_previousGrantsExpiry : TimePoint{};
     m_ranges.emplace(range.m_range.m_first, range);
     first = end;
   }
@@ -70,6 +73,10 @@
     if (!endpoint.m_usable || endpoint.m_unresponsive) {
       continue;
     }
+    if (aRange.m_holderUnknown && incarnation == aRange.m_preferred) {
+      best = &endpoint; // it may still have the data of its former keys
+      break;
+    }
     const double load = m_keyCounts[incarnation] /
                         std::max(endpoint.m_capacity, internal::kMinCapacity);
     if (best == nullptr || load < bestLoad) {
@@ -201,6 +208,7 @@
        ++at) {
     auto& range = at->second;
     if (range.m_phase == Phase::Held && range.m_owner != target->first &&
+        !IsHolderUnknown(aNow, range) &&
         range.m_range.m_last <= aRange.m_last) {
       BeginMove(aNow, range, target->first);
     }
--- a/src/sapphirehook/keys/range_manager_store_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_store_impl.hpp
@@ -44,24 +44,53 @@
   }
   std::vector<StoreBlock> stored;
   for (const unsigned block : blocks) {
-    StoreBlock& one = stored.emplace_back();
-    one.m_block = block;
-    const auto begin =
-      m_ranges.lower_bound(static_cast<Key>(block * kBlockKeys));
-    for (auto at = begin;
-         at != m_ranges.end() && at->first / kBlockKeys == block;
-         ++at) {
-      const auto& range = at->second;
-      const auto& owner =
-        range.m_phase == Phase::Storing ? range.m_target : range.m_owner;
-      if (!owner.m_name.empty()) {
-        one.m_assignments.push_back({ range.m_range, owner, range.m_fence });
-      }
-    }
+    AppendBlock(stored, block);
   }
   return stored;
 }
 
+/** Appends all assignments of a block. A range without a holder has none. */
+template<typename Rules>
+void
+BasicRangeManager<Rules>::AppendBlock(std::vector<StoreBlock>& aBlocks,
+                                      unsigned aBlock) const
+{
+  StoreBlock& one = aBlocks.emplace_back();
+  one.m_block = aBlock;
+  const auto begin =
+    m_ranges.lower_bound(static_cast<Key>(aBlock * kBlockKeys));
+  for (auto at = begin;
+       at != m_ranges.end() && at->first / kBlockKeys == aBlock;
+       ++at) {
+    const auto& range = at->second;
+    const auto& owner =
+      range.m_phase == Phase::Storing ? range.m_target : range.m_owner;
+    if (!owner.m_name.empty()) {
+      one.m_assignments.push_back({ range.m_range, owner, range.m_fence });
+    }
+  }
+}
+
+template<typename Rules>
+auto
+BasicRangeManager<Rules>::AllBlocks() const -> std::vector<StoreBlock>
+{
+  std::vector<StoreBlock> all;
+  for (unsigned block = 0; block < kBlocks; ++block) {
+    AppendBlock(all, block);
+  }
+  return all;
+}
+
+template<typename Rules>
+bool
+BasicRangeManager<Rules>::HasUnknownHolders(TimePoint aNow) const
+{
+  return std::any_of(m_ranges.begin(), m_ranges.end(), [&](const auto& aOne) {
+    return IsHolderUnknown(aNow, aOne.second);
+  });
+}
+
 template<typename Rules>
 void
 BasicRangeManager<Rules>::OnStored(TimePoint aNow)
@@ -81,6 +110,7 @@
     range.m_expectedExpiry = {};
     range.m_dueAt = aNow;
     range.m_granted = false;
+    range.m_holderUnknown = false;
     m_changed.insert(first);
     Publish(range);
   }
--- a/test/sapphirehook/gateway/ownership_restore.cpp
+++ b/test/sapphirehook/gateway/ownership_restore.cpp
@@ -1,5 +1,7 @@
 #include "ownership_fixture.hpp"
 
+#include <memory>
+
 using namespace sapphirehook;
 using namespace sapphirehook::ownership_fixture;
 
@@ -115,3 +117,62 @@
   CHECK(fixture.m_three.Holds(0));
   CHECK(fixture.m_violations == 0);
 }
+
+// Guards against two holders (review/7): the assignments that a restore took
+// back were never stored again, and the next leader granted the keys to their
+// former holders.
+TEST_CASE("the successor of a leader that lived through a restore knows the "
+          "present holders",
+          "[gateway][restore]")
+{
+  RestoreFixture fixture;
+  Daemon leader(fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 1);
+  leader.List(fixture.m_one);
+  REQUIRE(fixture.UntilWatched([&] { return leader.IsAt(0, "one"); }));
+  const TimePoint copyAt = fixture.Mark();
+  leader.List(fixture.m_two);
+  RestoreFixture::Drain(leader, fixture.m_one);
+  REQUIRE(fixture.UntilWatched([&] { return leader.IsAt(0, "two"); }));
+  fixture.Restore(copyAt);
+  fixture.RunWatched(Millis(1500));
+  leader.m_ownership.BeginStop();
+  leader.m_ownership.Resign();
+  Daemon successor(
+    fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 2);
+  successor.List(fixture.m_one);
+  successor.List(fixture.m_two);
+  REQUIRE(fixture.UntilWatched([&] { return successor.IsAt(0, "two"); }));
+  fixture.RunWatched(Millis(1000));
+  CHECK(fixture.m_two.Holds(0));
+  CHECK(fixture.m_violations == 0);
+}
+
+// Guards against two holders: nobody alive knows what the leader of before the
+// restore had granted.
+TEST_CASE(
+  "after a restore that no leader lived through no key is granted while "
+  "an earlier grant may be valid",
+  "[gateway][restore]")
+{
+  RestoreFixture fixture;
+  auto leader = std::make_unique<Daemon>(
+    fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 1);
+  leader->List(fixture.m_one);
+  REQUIRE(fixture.UntilWatched([&] { return leader->IsAt(0, "one"); }));
+  const TimePoint copyAt = fixture.Mark();
+  leader->List(fixture.m_two);
+  RestoreFixture::Drain(*leader, fixture.m_one);
+  REQUIRE(fixture.UntilWatched([&] { return leader->IsAt(0, "two"); }));
+  leader.reset();
+  fixture.Restore(copyAt);
+  Daemon successor(
+    fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 2);
+  successor.List(fixture.m_one);
+  successor.List(fixture.m_two);
+  REQUIRE(fixture.UntilWatched([&] { return successor.m_ownership.Leads(); }));
+  const unsigned before = fixture.m_one.m_commands + fixture.m_two.m_commands;
+  REQUIRE(fixture.m_two.Holds(0));
+  fixture.RunWatched(Millis(2500));
+  CHECK(fixture.m_violations == 0);
+  CHECK(fixture.m_one.m_commands + fixture.m_two.m_commands == before);
+}
--- a/test/sapphirehook/keys/range_manager.cpp
+++ b/test/sapphirehook/keys/range_manager.cpp
@@ -61,6 +61,26 @@
   static constexpr bool kWaitForOwnAnswer = false;
 };
 
+struct NoEraInTerms : simulation::Rules
+{
+  static constexpr bool kEraInTerms = false;
+};
+
+struct NotStoredAgain : simulation::Rules
+{
+  static constexpr bool kStoreAgainAfterRestore = false;
+};
+
+struct StoredAssignmentsTrusted : simulation::Rules
+{
+  static constexpr bool kWaitForLostClaims = false;
+};
+
+struct NoWaitForUnknownHolder : simulation::Rules
+{
+  static constexpr bool kWaitForUnknownHolder = false;
+};
+
 struct MergeDuringGrant : simulation::Rules
 {
   static constexpr bool kMergeIdleOnly = false;
@@ -127,6 +147,45 @@
   CHECK(FirstViolation<MergeDuringGrant>(200) != "");
 }
 
+// Guards against two holders after a restore of the store (review/7, review/8):
+// claims and assignments that it had acknowledged were lost.
+TEST_CASE("no key has two holders although the store forgets what it accepted",
+          "[keys][search]")
+{
+  CHECK(FirstViolation<simulation::Rules>(150, true) == "");
+  unsigned moves = 0;
+  unsigned reclaims = 0;
+  unsigned lostClaims = 0;
+  unsigned heldCellSteps = 0;
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    Simulation<simulation::Rules> simulation(seed, true);
+    CHECK(simulation.Run(Millis(120'000)).empty());
+    moves += simulation.Moves();
+    reclaims += simulation.Reclaims();
+    lostClaims += simulation.LostClaims();
+    heldCellSteps += simulation.HeldCellSteps();
+  }
+  CHECK(moves > 200);
+  CHECK(reclaims > 20);
+  CHECK(lostClaims > 10);
+  CHECK(heldCellSteps > 100'000);
+}
+
+// The search does not depend on kEraInConfirmations alone: a leader reads the
+// next claim before it counts a confirmation made after that claim.
+TEST_CASE("without any one rule for a store that forgets a violation is found",
+          "[keys][search][mutant]")
+{
+  // A term is used twice only if nobody alive knows its first use.
+  constexpr unsigned kSeedOfTermUsedTwice = 2778;
+  CHECK(
+    Simulation<NoEraInTerms>(kSeedOfTermUsedTwice, true).Run(Millis(120'000)) !=
+    "");
+  CHECK(FirstViolation<NotStoredAgain>(60, true) != "");
+  CHECK(FirstViolation<StoredAssignmentsTrusted>(60, true) != "");
+  CHECK(FirstViolation<NoWaitForUnknownHolder>(60, true) != "");
+}
+
 TEST_CASE("the stored assignments name each range's holder after any moves",
           "[keys]")
 {
@@ -377,6 +436,87 @@
   }));
 }
 
+// Guards against two holders: after a restore of the store, the stored
+// assignment may name an endpoint that has released its keys since.
+TEST_CASE(
+  "a range with an outdated assignment gets no grant before all earlier "
+  "leases have expired",
+  "[keys]")
+{
+  constexpr TimePoint kStart{ std::chrono::seconds(100) };
+  RangeManager manager(RangeManagerTimes{}, 1, kStart + Millis(6000));
+  manager.SetHoldersUnknown(0);
+  manager.Load({ { 0, 4095 }, { "e1", 1 }, 1 }, kStart + Millis(1500));
+  manager.Load({ { 4096, 8191 }, { "e1", 1 }, 2 }, kStart + Millis(1500));
+  manager.SetConfirmedAt(kStart);
+  manager.SetEndpoints(Endpoints(3));
+  const auto grants = [&](Millis aAfter) {
+    std::vector<GrantCommand> sent;
+    for (const auto& grant : manager.Tick(kStart + aAfter).m_grants) {
+      CHECK(grant.m_endpoint == "e1");
+      sent.push_back(grant.m_command);
+    }
+    return sent;
+  };
+  const auto first = grants(Millis(0));
+  REQUIRE(first.size() == 1);
+  CHECK(first.front().m_range.m_first == 4096);
+  manager.Move(kStart, { 0, 100 }, "e2");
+  CHECK(grants(Millis(5999)).empty());
+  CHECK(manager.HasUnknownHolders(kStart + Millis(5999)));
+  CHECK_FALSE(manager.HasToStore());
+  // Then the range returns to the endpoint that had it.
+  CHECK(grants(Millis(6000)).empty());
+  REQUIRE(manager.HasToStore());
+  const auto blocks = manager.BeginStore();
+  REQUIRE(blocks.size() == 1);
+  for (const auto& assignment : blocks.front().m_assignments) {
+    CHECK(assignment.m_owner.m_name == "e1");
+  }
+  manager.OnStored(kStart + Millis(6010));
+  CHECK(grants(Millis(6010)).size() == blocks.front().m_assignments.size());
+}
+
+TEST_CASE("all blocks name the holder of each range, also one being stored",
+          "[keys]")
+{
+  RangeManager manager(RangeManagerTimes{}, 1, TimePoint{});
+  manager.SetEndpoints(Endpoints(2));
+  manager.CoverAll(16);
+  std::map<unsigned, std::vector<RangeAssignment>> stored;
+  const TimePoint now = At(Millis(1));
+  Settle(manager, now, stored);
+  const auto ownerOf = [&](Key aKey) {
+    for (const auto& block : manager.AllBlocks()) {
+      for (const auto& assignment : block.m_assignments) {
+        if (assignment.m_range.Contains(aKey)) {
+          return assignment.m_owner.m_name;
+        }
+      }
+    }
+    return std::string();
+  };
+  REQUIRE(ownerOf(10) == "e0");
+  manager.Move(now, { 0, 100 }, "e1");
+  const auto releases = manager.Tick(now).m_releases;
+  REQUIRE(releases.size() == 1);
+  CHECK(ownerOf(10) == "e0"); // it has not answered the release
+  manager.OnReleaseEnd(
+    now, releases.front().m_id, { CommandOutcome::Done, "" });
+  REQUIRE(manager.HasToStore());
+  static_cast<void>(manager.BeginStore());
+  CHECK(ownerOf(10) == "e1");
+  CHECK(ownerOf(200) == "e0");
+  // The store has accepted all blocks with the first fence of another term.
+  manager.RaiseFences(1000);
+  manager.OnStored(now);
+  manager.Move(now, { 200, 300 }, "e1");
+  Settle(manager, now, stored);
+  CHECK(std::any_of(stored[0].begin(), stored[0].end(), [](const auto& aOne) {
+    return aOne.m_fence >= 1000;
+  }));
+}
+
 TEST_CASE(
   "keys of a lost holder move once earlier leaders' grants have expired",
   "[keys]")
--- a/test/sapphirehook/keys/range_simulation.hpp
+++ b/test/sapphirehook/keys/range_simulation.hpp
@@ -24,6 +24,14 @@
 /** A leader resets a connection on which a command has no answer for this long.
  */
 constexpr Millis kCallTimeout{ 350 };
+/** Age of the oldest copy from which the store is restored, and longest time
+    until a daemon learns of the restore. */
+constexpr Millis kMaxCopyAge{ 6000 };
+constexpr Millis kMaxNotice{ 3000 };
+/** Longest cut between a daemon and the others. */
+constexpr Millis kMaxPeersCut{ 10'000 };
+/** Time from a leader's learning of a restore until it claims again. */
+constexpr Millis kPeerReports{ 400 };
 
 /** Rules of the leadership, next to those of the range manager. Tests switch
    off one at a time. */
@@ -32,6 +40,16 @@
   /** A later run on an earlier leader's host does not prove the end of the
       leader's grants, since a killed process resets no connection. */
   static constexpr bool kOnlyOwnWordEndsGrants = true;
+  /** Terms of an era of the store are above all terms of earlier eras. */
+  static constexpr bool kEraInTerms = true;
+  /** The store confirms a term only in the era in which it was claimed. */
+  static constexpr bool kEraInConfirmations = true;
+  /** A leader that lives through a restore of the store claims again and stores
+      all its assignments again. */
+  static constexpr bool kStoreAgainAfterRestore = true;
+  /** A daemon that claims first after a restore does not trust the stored
+      assignments, and waits for the leaders whose claims may be lost. */
+  static constexpr bool kWaitForLostClaims = true;
 };
 
 /** An endpoint that follows the protocol for grants and releases: it rejects a
@@ -56,7 +74,8 @@
 
 struct SentCommand
 {
-  Term m_term = 0;
+  /** Identifies the leadership that sent the command. */
+  unsigned m_leadership = 0;
   bool m_isGrant = false;
   std::uint64_t m_id = 0;
   std::string m_endpoint;
@@ -83,16 +102,18 @@
 /** Simulates leaders on three hosts whose processes are killed, restarted under
     numbers in any order, and paused; four endpoints that crash, restart, refuse
     connections and are cut off; commands that are lost, delayed or held up by a
-    cut; late heartbeats; and ranges that move at random. A replaced leader
-    continues until its authority ends. The key space is divided into cells of
-    equal size. Reports a violation when a cell has two holders, or when its
-    fence does not increase from one holder to the next. */
+    cut; late heartbeats; ranges that move at random; and a store that is
+    restored from older copies, of which each daemon learns at its own time. A
+    replaced leader continues until its authority ends. The key space is divided
+   into cells of equal size. Reports a violation when a cell has two holders, or
+   when its fence does not increase from one holder to the next. */
 template<typename Rules>
 class Simulation
 {
 public:
-  explicit Simulation(unsigned aSeed)
+  explicit Simulation(unsigned aSeed, bool aRestores = false)
     : m_random(aSeed)
+    , m_restores(aRestores)
   {
     for (int i = 0; i < 4; ++i) {
       FakeEndpoint endpoint;
@@ -120,14 +141,23 @@
   [[nodiscard]] unsigned Moves() const { return m_moves; }
   [[nodiscard]] unsigned Terms() const { return m_terms; }
   [[nodiscard]] unsigned HeldCellSteps() const { return m_heldCellSteps; }
+  [[nodiscard]] unsigned Reclaims() const { return m_reclaims; }
+  [[nodiscard]] unsigned LostClaims() const { return m_lostClaims; }
 
 private:
   using Manager = BasicRangeManager<Rules>;
 
-  /** What a leader of one term keeps. */
+  /** What a leader keeps. */
   struct Leader
   {
+    /** Identifies the leadership: terms change after a restore. */
+    unsigned m_id = 0;
     Term m_term = 0;
+    /** Era in which the term was claimed. */
+    StoreEra m_termEra = 0;
+    /** When the leader has to claim again, if it has to. */
+    std::optional<TimePoint> m_reclaimAt;
+    TimePoint m_claimLostAt{};
     std::unique_ptr<Manager> m_manager;
     /** Incarnations to which there are connections, by endpoint. */
     std::map<std::string, std::int64_t> m_connections;
@@ -136,9 +166,33 @@
   struct Process
   {
     HostId m_id;
+    TimePoint m_startedAt{};
     std::unique_ptr<Leadership> m_leadership;
     std::optional<Leader> m_leads;
     TimePoint m_pausedUntil{};
+    std::optional<TimePoint> m_pausedFrom;
+    /** Heartbeats from and to the process are lost until this time. */
+    TimePoint m_peersCutUntil{};
+    /** The store does not answer the process until this time. */
+    TimePoint m_storeCutUntil{};
+    /** When the process learns of the latest restore of the store. */
+    TimePoint m_noticesAt = TimePoint::max();
+  };
+
+  /** A block of assignments in the store. */
+  struct StoredBlock
+  {
+    Offset m_offset = 0;
+    std::vector<RangeAssignment> m_assignments;
+  };
+
+  /** Contents of the store. */
+  struct Contents
+  {
+    TimePoint m_at{};
+    Offset m_end = 0;
+    LeaderRecord m_record;
+    std::map<unsigned, StoredBlock> m_blocks;
   };
 
   std::uint64_t Draw(std::uint64_t aLimit)
@@ -167,8 +221,10 @@
   {
     Process process;
     process.m_id = { "h" + std::to_string(aHost), 1 + Draw(1'000'000'000) };
+    process.m_startedAt = m_now;
     process.m_leadership =
       std::make_unique<Leadership>(Times(), process.m_id, 1.0, m_now);
+    process.m_leadership->OnEra(m_era);
     m_hosts.at(aHost) = std::move(process);
   }
 
@@ -187,7 +243,7 @@
   void StopLeading(Process& aProcess, bool aResets)
   {
     for (auto& command : m_commands) {
-      if (command.m_term == aProcess.m_leads->m_term) {
+      if (command.m_leadership == aProcess.m_leads->m_id) {
         command.m_abandoned = true;
         command.m_timesOutAt = aResets ? m_now : TimePoint::max();
       }
@@ -199,9 +255,10 @@
       unless the process then resets the connection first. */
   void Pause(Process& aProcess, TimePoint aUntil)
   {
+    aProcess.m_pausedFrom = aProcess.m_pausedFrom.value_or(m_now);
     aProcess.m_pausedUntil = aUntil;
     for (auto& command : m_commands) {
-      if (aProcess.m_leads && command.m_term == aProcess.m_leads->m_term &&
+      if (aProcess.m_leads && command.m_leadership == aProcess.m_leads->m_id &&
           command.m_arrivesAt > m_now) {
         command.m_arrivesAt = std::max(command.m_arrivesAt, aUntil + Millis(1));
         command.m_appliesAt =
@@ -211,28 +268,86 @@
     }
   }
 
+  /** Returns the contents of the store, to be changed. Keeps a copy of what
+      they were. */
+  Contents& Write()
+  {
+    m_copies.push_back(m_store);
+    // A copy is the contents until the next one was made.
+    while (m_copies.size() > 1 && m_copies[1].m_at < m_now - kMaxCopyAge) {
+      m_copies.pop_front();
+    }
+    m_store.m_at = m_now;
+    return m_store;
+  }
+
+  /** Appends the leader's record and assignments. */
+  void Append(const LeaderRecord& aRecord,
+              const std::vector<typename Manager::StoreBlock>& aBlocks)
+  {
+    auto& store = Write();
+    for (const auto& block : aBlocks) {
+      store.m_blocks[block.m_block] = { store.m_end++, block.m_assignments };
+    }
+    store.m_record = aRecord;
+    ++store.m_end;
+  }
+
+  [[nodiscard]] Term NextTerm(const Leadership& aLeadership) const
+  {
+    return Rules::kEraInTerms ? aLeadership.NextTerm()
+                              : aLeadership.HighestTerm() + 1;
+  }
+
   /** Appends a claim of the next term. */
   void Claim(std::size_t aHost)
   {
     auto& process = m_hosts.at(aHost);
-    if (m_term != 0) {
-      process.m_leadership->OnRecord(m_now, m_record);
-    }
-    if (process.m_leads) {
+    auto& leadership = *process.m_leadership;
+    OnEra(process);
+    const auto stored = m_store.m_record;
+    if (stored.m_term != 0) {
+      leadership.OnRecord(m_now, stored);
+    }
+    // Without a record of a leader, a process first waits for heartbeats.
+    const bool waits =
+      stored.m_term == 0 && m_terms > 0 &&
+      m_now < process.m_startedAt + LeadershipTimes{}.m_heartbeatTimeout;
+    if (process.m_leads || waits) {
       return;
     }
     ++m_terms;
-    ++m_term;
-    process.m_leadership->OnClaimed(m_now, { m_term, m_now });
-    m_record = process.m_leadership->RecordFor(m_now, m_term, 0);
+    const bool knowsEarlier =
+      !Rules::kWaitForLostClaims ||
+      leadership.KnowsEarlierLeaders(stored.m_term != 0 ? std::optional(stored)
+                                                        : std::nullopt);
+    const Offset trustedFrom =
+      knowsEarlier ? stored.m_trustedFrom : m_store.m_end + 1;
+    m_lostClaims += knowsEarlier ? 0 : 1;
+    const TermClaim claim{ NextTerm(leadership), m_now, knowsEarlier };
+    leadership.OnClaimed(m_now, claim);
+    auto record = leadership.RecordFor(m_now, claim.m_term, 0);
+    record.m_trustedFrom = trustedFrom;
+    const auto blocks = m_store.m_blocks;
+    Append(record, {});
     Leader leader;
-    leader.m_term = m_term;
+    leader.m_id = ++m_leaderships;
+    leader.m_term = claim.m_term;
+    leader.m_termEra = m_era;
     leader.m_manager =
       std::make_unique<Manager>(RangeManagerTimes{},
-                                (static_cast<Fence>(m_term) << 20U) + 1,
-                                process.m_leadership->PreviousGrantsExpiry());
-    for (const auto& [block, assignments] : m_stored) {
-      for (const auto& assignment : assignments) {
+                                (static_cast<Fence>(claim.m_term) << 20U) + 1,
+                                leadership.PreviousGrantsExpiry());
+    for (unsigned block = 0; block < kBlocks; ++block) {
+      const auto known = blocks.find(block);
+      if (Rules::kWaitForLostClaims && trustedFrom > 0 &&
+          (known == blocks.end() || known->second.m_offset < trustedFrom)) {
+        leader.m_manager->SetHoldersUnknown(block);
+      }
+      if (known == blocks.end()) {
+        continue;
+      }
+      for (const auto& assignment : known->second.m_assignments) {
         leader.m_manager->Load(assignment, m_now + Millis(1500));
       }
     }
@@ -241,6 +356,78 @@
     m_storing = false;
   }
 
+  /** Restores the store from a copy. Each process learns of it at its own time;
+      one that is paused, after the pause. */
+  void Restore()
+  {
+    const TimePoint copyAt = m_now - DrawMillis(kMaxCopyAge.count());
+    // The claim with which the fleet began is not lost.
+    while (m_copies.size() > 1 && m_store.m_at > copyAt) {
+      m_store = std::move(m_copies.back());
+      m_copies.pop_back();
+    }
+    ++m_era;
+    m_storing = false; // an append on its way has no answer
+    for (auto& process : m_hosts) {
+      process.m_noticesAt =
+        m_now + DrawMillis(Draw(2) == 0 ? 50 : kMaxNotice.count());
+    }
+  }
+
+  /** A process learns of the present era of the store. */
+  void OnEra(Process& aProcess)
+  {
+    aProcess.m_noticesAt = TimePoint::max();
+    if (aProcess.m_leadership->Era() == m_era) {
+      return;
+    }
+    aProcess.m_leadership->OnEra(m_era);
+    aProcess.m_leadership->OnRestoreSeen();
+    if (aProcess.m_leads && Rules::kStoreAgainAfterRestore) {
+      aProcess.m_leads->m_claimLostAt = m_now;
+      aProcess.m_leads->m_reclaimAt = m_now + kPeerReports + DrawMillis(300);
+    }
+  }
+
+  /** A leader claims again after a restore, and stores all assignments. */
+  void Reclaim(Process& aProcess)
+  {
+    auto& leadership = *aProcess.m_leadership;
+    auto& leader = *aProcess.m_leads;
+    const auto stored = m_store.m_record;
+    const bool isOther = stored.m_leader != aProcess.m_id;
+    if (!leadership.IsLatest() || !leadership.HasAuthority(m_now) ||
+        (isOther && (stored.m_era == m_era || stored.m_term > leader.m_term))) {
+      leadership.OnRecord(m_now, stored);
+      leadership.Yield(m_now);
+      StopLeading(aProcess, true);
+      return;
+    }
+    if (leadership.IsIsolated(m_now) ||
+        !leadership.HasHeardAllSince(leader.m_claimLostAt, m_now) ||
+        m_now < aProcess.m_storeCutUntil) {
+      return;
+    }
+    const bool waits = leader.m_manager->HasUnknownHolders(m_now);
+    const Term term = NextTerm(leadership);
+    auto record = leadership.RecordFor(m_now, term, 1);
+    record.m_trustedFrom = m_store.m_end + (waits ? 1 : 0);
+    Append(record,
+           waits ? std::vector<typename Manager::StoreBlock>()
+                 : leader.m_manager->AllBlocks());
+    if (Draw(5) == 0) {
+      leader.m_reclaimAt = m_now + Millis(120); // the answer is lost
+      return;
+    }
+    ++m_reclaims;
+    leader.m_reclaimAt.reset();
+    leader.m_term = term;
+    leader.m_termEra = m_era;
+    leadership.OnReclaimed(m_now, term);
+    leader.m_manager->RaiseFences((static_cast<Fence>(term) << 20U) + 1);
+    leader.m_manager->OnStored(m_now);
+  }
+
   FakeEndpoint& Endpoint(const std::string& aName)
   {
     return m_endpoints.at(static_cast<std::size_t>(aName.back() - '0'));
@@ -277,7 +464,7 @@
         return;
       }
     }
-    aCommand.m_term = aLeader.m_term;
+    aCommand.m_leadership = aLeader.m_id;
     aCommand.m_incarnation = actual;
     aCommand.m_arrivesAt = m_now + Millis(1) + DrawMillis(20);
     aCommand.m_timesOutAt = m_now + kCallTimeout;
@@ -311,7 +498,7 @@
       return nullptr;
     }
     for (auto& process : m_hosts) {
-      if (process.m_leads && process.m_leads->m_term == aCommand.m_term) {
+      if (process.m_leads && process.m_leads->m_id == aCommand.m_leadership) {
         return process.m_leads->m_manager.get();
       }
     }
@@ -357,18 +544,55 @@
     }
   }
 
+  /** A leader reads the store all the time, unless it is cut off. What it reads
+      confirms its term unless it shows a later one. */
+  void Confirm(Process& aProcess)
+  {
+    const auto& leader = *aProcess.m_leads;
+    const auto& record = m_store.m_record;
+    if (aProcess.m_noticesAt != TimePoint::max() ||
+        m_now < aProcess.m_storeCutUntil) {
+      return;
+    }
+    const bool isOwn =
+      record.m_leader == aProcess.m_id && record.m_term == leader.m_term;
+    const bool ignoresEra =
+      !Rules::kEraInConfirmations && record.m_term <= leader.m_term;
+    if (isOwn || ignoresEra) {
+      aProcess.m_leadership->OnTermConfirmed(
+        m_now - Millis(50), ignoresEra ? leader.m_termEra : m_era);
+    } else if (m_restores && record.m_leader != aProcess.m_id) {
+      aProcess.m_leadership->OnRecord(m_now, record);
+    }
+  }
+
   void Step()
   {
+    for (auto& process : m_hosts) {
+      if (process.m_pausedFrom && m_now >= process.m_pausedUntil) {
+        process.m_leadership->OnPause(*process.m_pausedFrom, m_now);
+        process.m_pausedFrom.reset();
+      }
+    }
     Deliver();
     ExchangeHeartbeats();
+    for (auto& process : m_hosts) {
+      if (m_now >= std::max(process.m_noticesAt, process.m_pausedUntil)) {
+        OnEra(process);
+      }
+    }
     for (auto& process : m_hosts) {
       if (!process.m_leads || m_now < process.m_pausedUntil) {
         continue;
       }
-      if (process.m_leads->m_term == m_term) {
-        process.m_leadership->OnTermConfirmed(m_now - Millis(50), 0);
+      Confirm(process);
+      if (process.m_leads->m_reclaimAt &&
+          m_now >= *process.m_leads->m_reclaimAt) {
+        Reclaim(process);
+      }
+      if (process.m_leads) {
+        TickLeader(process);
       }
-      TickLeader(process);
     }
     Store();
     InjectFaults();
@@ -489,12 +713,15 @@
     own = std::max(own, aFence);
   }
 
-  /** The leader whose appends the store accepts. */
-  Manager* NewestLeader()
+  /** The process of the leader whose appends the store accepts. */
+  Process* NewestLeader()
   {
     for (auto& process : m_hosts) {
-      if (process.m_leads && process.m_leads->m_term == m_term) {
-        return process.m_leads->m_manager.get();
+      if (process.m_leads && process.m_id == m_store.m_record.m_leader &&
+          process.m_leads->m_term == m_store.m_record.m_term &&
+          (!Rules::kStoreAgainAfterRestore ||
+           process.m_leads->m_termEra == m_era)) {
+        return &process;
       }
     }
     return nullptr;
@@ -502,20 +729,22 @@
 
   void Store()
   {
-    auto* manager = NewestLeader();
-    if (manager == nullptr) {
+    auto* process = NewestLeader();
+    if (process == nullptr || process->m_leads->m_reclaimAt) {
       m_storing = false;
       return;
     }
+    auto& manager = *process->m_leads->m_manager;
     if (m_storing && m_now >= m_storeEnds) {
       m_storing = false;
-      manager->OnStored(m_now);
+      manager.OnStored(m_now);
       ++m_moves;
     }
-    if (!m_storing && manager->HasToStore()) {
-      for (auto& block : manager->BeginStore()) {
-        m_stored[block.m_block] = block.m_assignments;
-      }
+    if (!m_storing && manager.HasToStore()) {
+      auto record = process->m_leadership->RecordFor(
+        m_now, process->m_leads->m_term, m_store.m_record.m_sequence + 1);
+      record.m_trustedFrom = m_store.m_record.m_trustedFrom;
+      Append(record, manager.BeginStore());
       m_storing = true;
       m_storeEnds = m_now + Millis(4) + DrawMillis(60);
     }
@@ -529,7 +758,10 @@
       for (std::size_t from = 0; from < m_hosts.size(); ++from) {
         const auto& process = m_hosts.at(from);
         for (std::size_t to = 0; to < m_hosts.size(); ++to) {
-          if (to == from || m_now < process.m_pausedUntil || Draw(10) == 0) {
+          const bool isCut = m_now < std::max(process.m_peersCutUntil,
+                                              m_hosts.at(to).m_peersCutUntil);
+          if (to == from || m_now < process.m_pausedUntil || isCut ||
+              Draw(10) == 0) {
             continue;
           }
           const auto delay = DrawMillis(Draw(20) == 0 ? 3000 : 40);
@@ -548,11 +780,12 @@
       }
       to.m_leadership->OnHeartbeat(
         m_now, aOne.m_from, aOne.m_term, aOne.m_leads, {});
+      const auto& record = m_store.m_record;
       if (!Rules::kOnlyOwnWordEndsGrants &&
-          m_record.m_leader.m_host == aOne.m_from.m_host &&
-          m_record.m_leader != aOne.m_from && aOne.m_term >= m_record.m_term) {
+          record.m_leader.m_host == aOne.m_from.m_host &&
+          record.m_leader != aOne.m_from && aOne.m_term >= record.m_term) {
         to.m_leadership->OnResignationReported(
-          m_record.m_term,
+          record.m_term,
           m_now + Times().m_commandTimeout +
             WithDrift(Times().m_leaseDuration, Times().m_driftPpm));
       }
@@ -565,14 +798,15 @@
 
   void InjectFaults()
   {
-    auto* manager = NewestLeader();
-    if (Draw(40) == 0 && manager != nullptr) {
+    auto* leader = NewestLeader();
+    if (Draw(40) == 0 && leader != nullptr) {
       const auto first = static_cast<std::uint32_t>(Draw(kCells)) * kCellKeys;
       const auto cells = 1 + static_cast<std::uint32_t>(Draw(6));
       const auto last = std::min(first + cells * kCellKeys, kKeyCount) - 1;
-      manager->Move(m_now,
-                    { static_cast<Key>(first), static_cast<Key>(last) },
-                    "e" + std::to_string(Draw(4)));
+      leader->m_leads->m_manager->Move(
+        m_now,
+        { static_cast<Key>(first), static_cast<Key>(last) },
+        "e" + std::to_string(Draw(4)));
     }
     if (Draw(300) == 0) {
       auto& endpoint = m_endpoints.at(Draw(4));
@@ -622,9 +856,21 @@
     if (Draw(60) == 0) {
       auto& reader = m_hosts.at(Draw(m_hosts.size()));
       if (m_now >= reader.m_pausedUntil) {
-        reader.m_leadership->OnRecord(m_now, m_record);
+        OnEra(reader);
+        reader.m_leadership->OnRecord(m_now, m_store.m_record);
       }
     }
+    if (m_restores && Draw(500) == 0) {
+      Restore();
+    }
+    if (m_restores && Draw(500) == 0) {
+      m_hosts.at(Draw(m_hosts.size())).m_peersCutUntil =
+        m_now + DrawMillis(kMaxPeersCut.count());
+    }
+    if (m_restores && Draw(500) == 0) {
+      m_hosts.at(Draw(m_hosts.size())).m_storeCutUntil =
+        m_now + DrawMillis(kMaxNotice.count());
+    }
     if (NewestLeader() == nullptr && Draw(40) == 0) {
       const auto host = Draw(m_hosts.size());
       if (m_now >= m_hosts.at(host).m_pausedUntil) {
@@ -649,15 +895,18 @@
 
   std::mt19937 m_random;
   TimePoint m_now = TimePoint(Millis(1));
-  Term m_term = 0;
-  LeaderRecord m_record;
+  /** Whether the store is restored from older copies. */
+  bool m_restores = false;
+  StoreEra m_era = 0;
+  Contents m_store;
+  std::deque<Contents> m_copies;
+  unsigned m_leaderships = 0;
   std::array<Process, 3> m_hosts;
   std::vector<FakeEndpoint> m_endpoints;
   std::vector<EndpointIncarnation> m_listed;
   std::deque<SentCommand> m_commands;
   std::deque<SentHeartbeat> m_heartbeats;
   TimePoint m_heartbeatsAt{};
-  std::map<unsigned, std::vector<RangeAssignment>> m_stored;
   /** Endpoints to which a leader reconnected while it sent the commands of one
       tick. */
   std::set<std::string> m_reconnected;
@@ -669,15 +918,18 @@
   unsigned m_moves = 0;
   unsigned m_terms = 0;
   unsigned m_heldCellSteps = 0;
+  unsigned m_reclaims = 0;
+  unsigned m_lostClaims = 0;
 };
 
 /** Returns the first violation found with the seeds from 1 to aSeeds. */
 template<typename Rules>
 std::string
-FirstViolation(unsigned aSeeds)
+FirstViolation(unsigned aSeeds, bool aRestores = false)
 {
   for (unsigned seed = 1; seed <= aSeeds; ++seed) {
-    const auto violation = Simulation<Rules>(seed).Run(Millis(120'000));
+    const auto violation =
+      Simulation<Rules>(seed, aRestores).Run(Millis(120'000));
     if (!violation.empty()) {
       return violation + ", seed " + std::to_string(seed);
     }
