Gateway: no request is passed on for a caller that has left

Cause: CallerConnection parses its backlog in a deferred function. If the answer in front and the end of the connection are handled in one round of the event loop, Close() has already disconnected all transactions when the function runs. It looked only at m_headWaits, and passed on the head that waited. The loop then freed the connection, and the transaction kept a pointer to its exchange.

Change: the deferred function does nothing once the connection reads nothing any more. A request whose passing on ends its connection is disconnected at once, which is the same fault on another path. The other deferred functions of the request path hold no connection, exchange or transaction.

--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -151,14 +151,6 @@
                        (m_parser.IsInMessage() && !m_parser.IsHeadComplete()));
 }
 
-void
-CallerConnection::CloseIfIdle()
-{
-  if (!IsBusy() && m_backlog.empty()) {
-    Close();
-  }
-}
-
 void
 CallerConnection::OnData(std::string_view aBytes)
 {
@@ -260,6 +252,9 @@
   m_loop.Defer([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->m_backlogScheduled = false;
+      if (self->m_readsNothing) {
+        return; // the connection has closed, or closes after its answers
+      }
       if (self->m_headWaits &&
           self->m_answers.MayPassOn(self->m_headMayRunEarly)) {
         self->m_headWaits = false;
@@ -311,6 +306,10 @@
   if (!exchange->m_answered) {
     exchange->m_transaction = std::move(transaction);
   }
+  if (m_closed || m_finishing) {
+    // Another answer has ended the connection meanwhile.
+    Disconnect(*exchange);
+  }
 }
 
 void
--- a/src/sapphirehook/gateway/caller_connection.hpp
+++ b/src/sapphirehook/gateway/caller_connection.hpp
@@ -84,7 +84,12 @@
   void BeginStop() { m_answers.BeginStop(); }
 
   /** Closes the connection if no request is in progress. */
-  void CloseIfIdle();
+  void CloseIfIdle()
+  {
+    if (!IsBusy() && m_backlog.empty()) {
+      Close();
+    }
+  }
 
   /** Returns whether a request has been read, at least in part, and its answer
       has not been sent completely. A connection that is closing is busy until
--- a/test/sapphirehook/gateway/pipelined_requests.cpp
+++ b/test/sapphirehook/gateway/pipelined_requests.cpp
@@ -116,6 +116,33 @@
         std::vector<std::string>{ "slow", "once", "c" });
 }
 
+// Guards against a use after free (review/6): the answer in front and the end
+// of the caller's connection were handled in one round of the event loop, and
+// the request behind was passed on for a connection that no longer existed.
+TEST_CASE("a request that waits its turn is not passed on once its caller has "
+          "left",
+          "[gateway][pipeline]")
+{
+  HoldingFixture fixture;
+  fixture.Send(Request("/safe/x", "slow") + Request("/once/x", "once"));
+  REQUIRE(fixture.Until([&] { return fixture.Arrived() == 1; }));
+  fixture.Settle();
+  // The event loop may handle the two events of a round in either order.
+  SECTION("after the answer in front")
+  {
+    fixture.ReleaseAll();
+    fixture.m_caller->Close();
+  }
+  SECTION("before the answer in front")
+  {
+    fixture.m_caller->Close();
+    fixture.ReleaseAll();
+  }
+  fixture.Settle();
+  CHECK_FALSE(fixture.HasArrived("once"));
+  CHECK(fixture.m_engine.Unanswered() == 0);
+}
+
 TEST_CASE("what stands behind a closing answer has not run, or is idempotent",
           "[gateway][pipeline]")
 {
