No byte from outside ends a process: handovers, numbers, stored ranges

Cause: a faulty endpoint answered a release with a handover header that is not UTF-8. The leader put it into the grant for the next holder, and the JSON library throws an exception when it serializes such a string. Nothing catches it.

JSON that holds strings from outside is serialized by SerializeJson, which replaces invalid bytes (commands to endpoints of both programs, status pages, timeline).

The same cause on related paths, each with a test that failed before: - a stored block whose ranges overlap or run backwards sent a new leader into a loop without end; it is now treated as unreadable; - a caller's deadline near 2^63 ms overflowed, and the request was refused; - a load near 2^64 was taken, and the expected wait computed from it overflowed. An idle timeout and a stored expiry near the limits of their types are bounded too.

--- a/src/sapphirehook/daemon/status.cpp
+++ b/src/sapphirehook/daemon/status.cpp
@@ -1,6 +1,6 @@
 #include "sapphirehook/daemon/status.hpp"
 
-#include <nlohmann/json.hpp>
+#include "sapphirehook/core/json_text.hpp"
 
 namespace sapphirehook {
 
@@ -91,7 +91,7 @@
                { "services", services },
                { "groups", GroupsJson(aNow, aCoordinator) },
                { "endpoints", EndpointsJson(aNow, aCoordinator) } };
-  return status.dump();
+  return SerializeJson(status);
 }
 
 std::string
@@ -111,7 +111,7 @@
   if (decision.m_refusal) {
     route["refusal"] = AnswerFor(*decision.m_refusal).m_name;
   }
-  return route.dump();
+  return SerializeJson(route);
 }
 
 std::string
@@ -123,7 +123,7 @@
                         { "accepted", ticket.m_accepted },
                         { "reason", ticket.m_reason } });
   }
-  return tickets.dump();
+  return SerializeJson(tickets);
 }
 
 } // namespace sapphirehook
--- a/src/sapphirehook/endpoint/grant.cpp
+++ b/src/sapphirehook/endpoint/grant.cpp
@@ -1,5 +1,7 @@
 #include "sapphirehook/endpoint/grant.hpp"
 
+#include "sapphirehook/core/json_text.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace sapphirehook {
@@ -22,7 +24,7 @@
     json["partitions"] = aAction.m_partitions;
     json["keys"] = aAction.m_keys;
   }
-  return json.dump();
+  return SerializeJson(json);
 }
 
 absl::StatusOr<LeaseAnswer>
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -100,7 +100,7 @@
       continue;
     }
     const auto assignments =
-      Unpack<std::vector<RangeAssignment>>(stored->second.m_value.value_or(""));
+      UnpackBlock(block, stored->second.m_value.value_or(""));
     if (!assignments.ok()) {
       m_log.Write(LogLine("assignments-unreadable")
                     .Add("key", stored->first)
--- a/src/sapphirehook/gateway/request_engine.cpp
+++ b/src/sapphirehook/gateway/request_engine.cpp
@@ -17,6 +17,8 @@
 /** Time within which a daemon with stale routes reads the current ones, unless
     the store is unavailable. */
 constexpr Millis kRouteReadTime{ 300 };
+/** Upper bound of a caller's deadline. Routes have far shorter timeouts. */
+constexpr Millis kMaxDeadline = std::chrono::hours(1);
 /** Retry-After of a request for a route that this version cannot apply. Another
     host may run a version that can. */
 constexpr Millis kUnusableRouteRetry{ 1000 };
@@ -322,7 +324,8 @@
   if (const auto* text = FindHeader(headers, m_protocol.m_deadlineHeader)) {
     if (const auto millis = ParseWholeNumber(*text)) {
       transaction.m_callerDeadline =
-        aArrival.m_at + Millis(static_cast<Millis::rep>(*millis));
+        aArrival.m_at +
+        Millis(std::min<std::uint64_t>(*millis, kMaxDeadline.count()));
       constexpr int kMaxTimeouts = 4; // callers wait for a few attempts
       transaction.m_objectiveAt -= m_firstAttempts[route.m_name].OnRequest(
         now,
--- a/src/sapphirehook/gateway/upstream_connection.cpp
+++ b/src/sapphirehook/gateway/upstream_connection.cpp
@@ -20,6 +20,8 @@
 /** Time before the end of an endpoint's stated idle timeout at which the
     connection is no longer reused. */
 constexpr Millis kIdleMargin{ 600 };
+/** Upper bound of the idle timeout that an endpoint states. */
+constexpr std::chrono::seconds kMaxStatedIdle{ 3600 };
 
 constexpr int kMisdirected = 421;
 
@@ -164,7 +166,8 @@
   const auto seconds =
     ParseWholeNumber(digits.substr(0, digits.find_first_not_of("0123456789")));
   if (seconds) {
-    const Millis stated = std::chrono::seconds(*seconds);
+    const Millis stated = std::chrono::seconds(
+      std::min<std::uint64_t>(*seconds, kMaxStatedIdle.count()));
     m_idleLimit = std::min(m_idleLimit, stated - kIdleMargin);
   }
 }
--- a/src/sapphirehook/keys/earlier_grants.cpp
+++ b/src/sapphirehook/keys/earlier_grants.cpp
@@ -8,6 +8,8 @@
 
 /** Number of terms whose reported expiry is kept. Only the latest matter. */
 constexpr std::size_t kMaxReportedTerms = 16;
+/** Upper bound of a stored expiry. Leases last for seconds. */
+constexpr Millis kMaxExpiry = std::chrono::minutes(10);
 
 } // namespace
 
@@ -60,7 +62,9 @@
   for (const auto& leader : aLeaders) {
     // The stored time runs from the append. Counting it from the read, which
     // is later, gives an upper bound.
-    Add(leader.m_leader, leader.m_term, aNow + Millis(leader.m_expiresInMs));
+    const auto left =
+      std::clamp<Millis::rep>(leader.m_expiresInMs, 0, kMaxExpiry.count());
+    Add(leader.m_leader, leader.m_term, aNow + Millis(left));
   }
 }
 
--- a/src/sapphirehook/operator/timeline.cpp
+++ b/src/sapphirehook/operator/timeline.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/operator/timeline.hpp"
 
+#include "sapphirehook/core/json_text.hpp"
 #include "sapphirehook/core/text.hpp"
 
 #include <algorithm>
@@ -111,7 +112,7 @@
   for (const auto& event : aEvents) {
     list.push_back(ToJson(event));
   }
-  return list.dump();
+  return SerializeJson(list);
 }
 
 absl::StatusOr<std::vector<TimelineEvent>>
--- a/test/platform/formats.cpp
+++ b/test/platform/formats.cpp
@@ -1,5 +1,7 @@
 #include "platform/protocol.hpp"
+#include "platform/server_calls.hpp"
 #include "platform/standin_formats.hpp"
+#include "sapphirehook/core/text.hpp"
 #include "sapphirehook/routing/route_table.hpp"
 #include "support/generate.hpp"
 
@@ -371,6 +373,48 @@
   CHECK_FALSE(protocol.m_parseLoad("3,0").ok());
 }
 
+// Guards against the end of a gateway by a server's bytes (review/9).
+TEST_CASE("any bytes of a server's answer give a valid command", "[platform]")
+{
+  std::mt19937 random(5);
+  for (int i = 0; i < 2000; ++i) {
+    std::string bytes;
+    for (auto left = support::Draw(random, 24); left > 0; --left) {
+      bytes += static_cast<char>(support::Draw(random, 256));
+    }
+    CallResult result;
+    result.m_end = CallEnd::Answered;
+    result.m_answer.m_head.m_status = 200;
+    result.m_answer.m_head.m_headers.push_back(
+      { "X-Sapphirehook-Handover", bytes });
+    const auto parsed = platform::ParseCommandAnswer(result);
+    CHECK(parsed.m_end == CommandOutcome::Done);
+    CHECK((parsed.m_handover == bytes || parsed.m_handover.empty()));
+    // Also a handover that was not checked.
+    for (const auto& handover : { parsed.m_handover, bytes }) {
+      const auto call =
+        platform::GrantCall({ { 1, 2 }, 3, Millis(4), handover });
+      const auto body = nlohmann::json::parse(call.m_body);
+      CHECK(body.at("fence") == 3);
+    }
+  }
+}
+
+TEST_CASE("numbers near the limits of their types are rejected", "[platform]")
+{
+  constexpr const char* kLargest = "18446744073709551615";
+  for (const auto& text : { Concat(kLargest, ",0,6"),
+                            Concat("0,", kLargest, ",6"),
+                            Concat("0,0,", kLargest),
+                            Concat("0,0,6,", kLargest) }) {
+    CHECK_FALSE(platform::ParseLoad(text).ok());
+  }
+  const auto usual = platform::ParseLoad("7,200,6,150");
+  REQUIRE(usual.ok());
+  CHECK(usual->m_waiting == 200);
+  CHECK(usual->m_pace == 150U);
+}
+
 TEST_CASE("a configuration that the stand-ins write is parsed unchanged",
           "[platform]")
 {
--- a/test/sapphirehook/gateway/ownership.cpp
+++ b/test/sapphirehook/gateway/ownership.cpp
@@ -75,3 +75,49 @@
   CHECK_FALSE(support::RunUntil(
     fixture.m_loop, [&] { return daemon.IsAt(0, "two"); }, Millis(2000)));
 }
+
+// Guards against the end of one leader after the other (review/9): composing a
+// grant with the handover of a faulty endpoint threw an exception.
+TEST_CASE("the keys of an endpoint move although its handover is not valid",
+          "[gateway]")
+{
+  Fixture fixture;
+  Daemon daemon(fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 1);
+  daemon.List(fixture.m_one);
+  REQUIRE(fixture.Until([&] { return daemon.IsAt(0, "one"); }));
+  fixture.m_one.m_handover = "\xC3"
+                             "c0e7a21d94b36f8";
+  daemon.List(fixture.m_two);
+  fixture.m_one.m_record.m_draining = true;
+  daemon.List(fixture.m_one);
+  CHECK(fixture.Until([&] { return daemon.IsAt(0, "two"); }));
+}
+
+// Guards against two holders, and against a loop without end, should a stored
+// block hold ranges that no leader has written.
+TEST_CASE("a leader does not use a stored block with ranges that overlap",
+          "[gateway]")
+{
+  Fixture fixture;
+  const auto ranges = GENERATE(std::vector<KeyRange>{ { 0, 100 }, { 50, 60 } },
+                               std::vector<KeyRange>{ { 100, 50 } },
+                               std::vector<KeyRange>{ { 4000, 5000 } });
+  std::vector<RangeAssignment> assignments;
+  for (const auto& range : ranges) {
+    assignments.push_back({ range, fixture.m_one.m_record.m_incarnation, 1 });
+  }
+  HttpClient client(fixture.m_loop, fixture.m_storeAddress);
+  bool stored = false;
+  client.Call(fixture.m_protocol.m_store.m_append(
+                "keyed.ownership",
+                std::nullopt,
+                { { 0, "ranges/keyed/0", Pack(assignments) } }),
+              Millis(1000),
+              [&](const CallResult&) { stored = true; });
+  REQUIRE(fixture.Until([&] { return stored; }));
+  Daemon daemon(fixture.m_loop, fixture.m_protocol, fixture.m_storeAddress, 1);
+  daemon.List(fixture.m_one);
+  REQUIRE(fixture.Until([&] { return daemon.m_ownership.Leads(); }));
+  CHECK(fixture.Until([&] { return daemon.IsAt(8191, "one"); }));
+  CHECK(fixture.Until([&] { return daemon.IsAt(0, "one"); }));
+}
--- a/test/sapphirehook/gateway/ownership_fixture.hpp
+++ b/test/sapphirehook/gateway/ownership_fixture.hpp
@@ -41,6 +41,8 @@
   HttpServer m_server;
   EndpointRecord m_record;
   unsigned m_commands = 0;
+  /** Handover data in the answers to releases. */
+  std::string m_handover = "h";
 
 private:
   HttpReply Execute(const HttpExchange& aExchange)
@@ -50,7 +52,7 @@
     const TimePoint now = BootClock::now();
     if (platform::IsRelease(aExchange.m_head)) {
       m_leases.Release(platform::ReadRelease(aExchange.m_body)->m_range);
-      return platform::HandoverReply("h");
+      return platform::HandoverReply(m_handover);
     }
     const auto grant = platform::ReadGrant(aExchange.m_body);
     return { m_leases.Grant(*grant, now + grant->m_leaseDuration) ? kOk
--- a/test/sapphirehook/gateway/request_engine.cpp
+++ b/test/sapphirehook/gateway/request_engine.cpp
@@ -340,6 +340,19 @@
   CHECK(fixture.m_one.m_deadlines.front() != "");
 }
 
+TEST_CASE("a deadline beyond any request's duration does not limit the request",
+          "[gateway]")
+{
+  const auto* millis =
+    GENERATE("9223372036854775807", "18446744073709551615", "9223372036854775");
+  Fixture fixture;
+  fixture.List("plain", false);
+  CHECK(Fixture::HasStatus(
+    fixture.Ask(
+      "/safe/x", "a", Concat("X-Sapphirehook-Deadline-Ms: ", millis, "\r\n")),
+    200));
+}
+
 TEST_CASE("the endpoint receives the remaining time of the caller's deadline",
           "[gateway]")
 {
