Ownership: a leader that cannot store in a restored store hands over

Cause: the leader was cut off from the store while others reached it. Since it had to claim again it did not resign, so it led until its authority ended. Its successor could not know that it had been the last leader, and waited 19.5 s for the leaders whose claims the store might have lost.

Change: a leader that has to claim again keeps leading for 10 s after its last confirmation at most. It then resigns, and says whether it lived through the restore by the conditions for claiming again. A successor that knows no later term then waits only for the grants of that leader (4.5 s). The search lets such leaders resign.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -102,6 +102,7 @@
     "only",
     "inject only faults of this kind",
     cxxopts::value<std::string>()->default_value(""))(
+    "restores", "also restore the store from older copies")(
     "folder",
     "folder for settings, logs and histories",
     cxxopts::value<std::string>()->default_value("soak-run"))(
@@ -132,6 +133,7 @@
   constexpr Millis kSecond{ 1000 };
   soakOptions.m_faultPeriod = kSecond * given["seconds"].as<unsigned>();
   soakOptions.m_onlyKind = given["only"].as<std::string>();
+  soakOptions.m_restoresStore = given.count("restores") > 0;
   soakOptions.m_requestRate = given["rate"].as<double>();
   const auto protocol = platform::Protocol();
   Soak soak(protocol, soakOptions);
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -44,6 +44,8 @@
 
 /** Mean time between two faults. */
 constexpr int kMeanIntervalMs = 900;
+/** Mean time between two restores of the store. */
+constexpr int kMeanRestoreIntervalMs = 5'000;
 /** Range of fault durations. */
 constexpr int kMinDurationMs = 200;
 constexpr int kMaxDurationMs = 5'000;
@@ -52,6 +54,23 @@
 constexpr unsigned kSeriesEvery = 5;
 constexpr unsigned kMaxSeriesLength = 4;
 
+/** Adds restores of the store, drawn from a generator of their own. */
+void
+AddRestores(const ScheduleOptions& aOptions, std::vector<Fault>& aFaults)
+{
+  std::mt19937 random(~aOptions.m_seed);
+  std::exponential_distribution<double> gap(1.0 / kMeanRestoreIntervalMs);
+  std::uniform_real_distribution<double> strength(0.0, 1.0);
+  const auto length = static_cast<double>(aOptions.m_faultPeriod.count());
+  for (double at = gap(random); at < length; at += gap(random)) {
+    aFaults.push_back({ .m_kind = FaultKind::StoreRestored,
+                        .m_at = Millis(static_cast<Millis::rep>(at)),
+                        .m_duration = Millis(kMaxDurationMs),
+                        .m_target = random(),
+                        .m_strength = strength(random) });
+  }
+}
+
 } // namespace
 
 std::string_view
@@ -97,6 +116,9 @@
       ++fault.m_target;
     }
   }
+  if (aOptions.m_restoresStore) {
+    AddRestores(aOptions, faults);
+  }
   std::stable_sort(
     faults.begin(), faults.end(), [](const Fault& aLeft, const Fault& aRight) {
       return aLeft.m_at < aRight.m_at;
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -87,6 +87,9 @@
   Millis m_faultPeriod{};
   /** Name of the only fault kind to draw; all kinds if empty. */
   std::string m_onlyKind;
+  /** Whether to restore the store beside the drawn faults, which stay the same.
+   */
+  bool m_restoresStore = false;
 };
 
 /** Draws the faults of a run: single faults, series of one kind, and
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -68,7 +68,8 @@
   m_probeTimer.StartEvery(kProbeInterval);
   const auto schedule = DrawSchedule({ m_options.m_fleet.m_seed,
                                        m_options.m_faultPeriod,
-                                       m_options.m_onlyKind });
+                                       m_options.m_onlyKind,
+                                       m_options.m_restoresStore });
   for (const auto& fault : schedule) {
     m_delayed.After(fault.m_at, [this, fault] { Inject(fault); });
   }
--- a/soak/soak.hpp
+++ b/soak/soak.hpp
@@ -19,6 +19,7 @@
   Millis m_faultPeriod{ 20'000 };
   /** Name of the only fault kind to inject; all kinds if empty. */
   std::string m_onlyKind;
+  bool m_restoresStore = false;
   double m_requestRate = 150.0;
 };
 
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -23,6 +23,9 @@
                                     .m_gather = Millis(300) };
 /** Shortest time between two attempts to claim. */
 constexpr Millis kClaimInterval{ 300 };
+/** A leader that cannot store its assignments in a restored store resigns after
+    this time, while its authority still lasts. */
+constexpr Millis kLongestReclaim{ 10'000 };
 /** A tick that is this late means that the daemon did not run. */
 constexpr Millis kPauseThreshold{ 400 };
 
@@ -116,7 +119,8 @@
   if (m_leadership.Leads()) {
     // Until a restored store has the assignments again, no other daemon could
     // grant a key before all present leases have expired.
-    const bool keepsLeading = m_reclaiming && m_leadership.HasAuthority(now);
+    const bool keepsLeading =
+      m_reclaiming && now < m_leadership.ConfirmedAt() + kLongestReclaim;
     if (!keepsLeading && (m_leadership.ShouldResign(now) ||
                           (m_stopping && m_leadership.CanHandOver(now)))) {
       Resign();
@@ -319,10 +323,13 @@
     ends = std::max(ends, ledService.m_rangeManager.AllGrantsExpiry(now));
   }
   const auto term = m_leadership.HighestTerm();
+  const bool isLatest =
+    m_reclaiming && m_leadership.HasLivedThrough(m_claimLostAt, now);
   m_leadership.Resign(now);
   const auto left = std::chrono::duration_cast<Millis>(ends - now);
   m_gossip.SendAll(
-    now, Resignation{ term, std::max<std::int64_t>(left.count(), 0) });
+    now,
+    Resignation{ term, std::max<std::int64_t>(left.count(), 0), isLatest });
   StepDown("resigned");
 }
 
@@ -445,8 +452,11 @@
       m_maps.OnRequest(aFrom, *request);
     }
   } else if (const auto* resigned = std::get_if<Resignation>(&aMessage)) {
-    m_leadership.OnResigned(
-      now, aFrom, resigned->m_term, Millis(resigned->m_grantsEndInMs));
+    m_leadership.OnResigned(now,
+                            aFrom,
+                            resigned->m_term,
+                            Millis(resigned->m_grantsEndInMs),
+                            resigned->m_isLatest);
     TickSoon();
   }
 }
--- a/src/sapphirehook/gateway/ownership_restore.cpp
+++ b/src/sapphirehook/gateway/ownership_restore.cpp
@@ -82,8 +82,7 @@
                       : "another daemon may have led since");
     return;
   }
-  if (m_leadership.IsIsolated(now) ||
-      !m_leadership.HasHeardAllSince(m_claimLostAt, now)) {
+  if (!m_leadership.HasLivedThrough(m_claimLostAt, now)) {
     m_storeTimer.Start(kStoreRetry);
     return;
   }
--- a/src/sapphirehook/gossip/message.hpp
+++ b/src/sapphirehook/gossip/message.hpp
@@ -175,8 +175,11 @@
   Term m_term = 0;
   /** Time until all grants of the term have expired, in milliseconds. */
   std::int64_t m_grantsEndInMs = 0;
+  /** Whether no other daemon has led since the term began, although the store
+      was restored and has lost claims. */
+  bool m_isLatest = false;
 
-  MSGPACK_DEFINE_ARRAY(m_term, m_grantsEndInMs)
+  MSGPACK_DEFINE_ARRAY(m_term, m_grantsEndInMs, m_isLatest)
 };
 
 using GossipMessage = std::variant<GossipHeartbeat,
--- a/src/sapphirehook/keys/leadership.cpp
+++ b/src/sapphirehook/keys/leadership.cpp
@@ -159,7 +159,8 @@
 Leadership::OnResigned(TimePoint aNow,
                        const HostId& aFrom,
                        Term aTerm,
-                       Millis aEnds)
+                       Millis aEnds,
+                       bool aIsLatest)
 {
   if (aTerm >= m_term && aFrom != m_self) {
     m_leader = {};
@@ -167,6 +168,9 @@
     m_resignedTerm = aTerm;
     m_resignedGrantsExpiry = aNow + aEnds;
     m_earlier.OnExpiryReported(aTerm, m_resignedGrantsExpiry);
+    if (aIsLatest) {
+      m_latestResignedTerm = aTerm;
+    }
   }
 }
 
@@ -491,8 +495,12 @@
     // Stands for the leaders whose claims were lost. Their authority ends by
     // then, since no confirmation of this era counts for their terms. No leader
     // has the term, so no report lowers the expiry.
-    m_earlier.Add(
-      {}, FirstTermOf(m_era) - 1, aNow + m_times.m_authority + GrantLifetime());
+    const bool isHandedOver =
+      m_latestResignedTerm != 0 && m_latestResignedTerm == m_term;
+    m_earlier.Add({},
+                  FirstTermOf(m_era) - 1,
+                  isHandedOver ? m_resignedGrantsExpiry
+                               : aNow + m_times.m_authority + GrantLifetime());
   }
   m_leads = true;
   m_ledSince = aNow;
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -160,11 +160,13 @@
   [[nodiscard]] std::optional<std::size_t> ReaderIndex(TimePoint aNow) const;
 
   /** Processes a leader's resignation. All its grants have expired aEnds from
-      now. */
+      now. aIsLatest is whether no other daemon has led since, also if the store
+      has lost claims. */
   void OnResigned(TimePoint aNow,
                   const HostId& aFrom,
                   Term aTerm,
-                  Millis aEnds);
+                  Millis aEnds,
+                  bool aIsLatest = false);
 
   /** Sets whether the store answers this daemon. */
   void SetStoreWorks(TimePoint aNow, bool aWorks) noexcept;
@@ -223,6 +225,15 @@
      heard for long, or are stopping, do not count. */
   [[nodiscard]] bool HasHeardAllSince(TimePoint aSince, TimePoint aNow) const;
 
+  /** Whether this leader has lived through a restore of the store: it is the
+      latest one, with authority, and has heard the other daemons since aSince,
+      when it learned of the restore. */
+  [[nodiscard]] bool HasLivedThrough(TimePoint aSince, TimePoint aNow) const
+  {
+    return IsLatest() && HasAuthority(aNow) && !IsIsolated(aNow) &&
+           HasHeardAllSince(aSince, aNow);
+  }
+
   /** Whether other hosts are known and none of them sends heartbeats. */
   [[nodiscard]] bool IsIsolated(TimePoint aNow) const;
 
@@ -338,6 +349,8 @@
   /** Term of the latest leader that resigned. */
   Term m_resignedTerm = 0;
   TimePoint m_resignedGrantsExpiry{};
+  /** Term of the latest leader that resigned and was certainly the latest. */
+  Term m_latestResignedTerm = 0;
   TimePoint m_resignedAt{};
   /** Since when another daemon reaches the store while this leader does not. */
   TimePoint m_othersReachSince{};
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -575,6 +575,17 @@
     leadership.OnResignationReported(record.m_term, At(1600));
     leadership.OnClaimed(At(2000), { leadership.NextTerm(), At(1990), false });
     CHECK(leadership.PreviousGrantsExpiry() == At(2000) + longest);
+    SECTION("also if it resigned while it lived through the restore")
+    {
+      auto next = Follower();
+      next.OnEra(1);
+      next.OnHeartbeat(At(1100), kOther, record.m_term, true, {});
+      next.OnEra(2);
+      next.OnRecord(At(1500), record);
+      next.OnResigned(At(1600), kOther, record.m_term, Millis(4500), true);
+      next.OnClaimed(At(2000), { next.NextTerm(), At(1990), false });
+      CHECK(next.PreviousGrantsExpiry() == At(6100));
+    }
     SECTION("and the next leader counts the rest of that time")
     {
       auto stored = leadership.RecordFor(At(5000), FirstTermOf(2), 1);
--- a/test/sapphirehook/keys/range_manager.cpp
+++ b/test/sapphirehook/keys/range_manager.cpp
@@ -157,7 +157,7 @@
   unsigned reclaims = 0;
   unsigned lostClaims = 0;
   unsigned heldCellSteps = 0;
-  for (unsigned seed = 1; seed <= 10; ++seed) {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
     Simulation<simulation::Rules> simulation(seed, true);
     CHECK(simulation.Run(Millis(120'000)).empty());
     moves += simulation.Moves();
@@ -177,7 +177,7 @@
           "[keys][search][mutant]")
 {
   // A term is used twice only if nobody alive knows its first use.
-  constexpr unsigned kSeedOfTermUsedTwice = 2778;
+  constexpr unsigned kSeedOfTermUsedTwice = 11446;
   CHECK(
     Simulation<NoEraInTerms>(kSeedOfTermUsedTwice, true).Run(Millis(120'000)) !=
     "");
--- a/test/sapphirehook/keys/range_simulation.hpp
+++ b/test/sapphirehook/keys/range_simulation.hpp
@@ -403,8 +403,7 @@
       StopLeading(aProcess, true);
       return;
     }
-    if (leadership.IsIsolated(m_now) ||
-        !leadership.HasHeardAllSince(leader.m_claimLostAt, m_now) ||
+    if (!leadership.HasLivedThrough(leader.m_claimLostAt, m_now) ||
         m_now < aProcess.m_storeCutUntil) {
       return;
     }
@@ -428,6 +427,26 @@
     leader.m_manager->OnStored(m_now);
   }
 
+  /** A leader that has not claimed again yet resigns. */
+  void Resign(Process& aProcess)
+  {
+    auto& leadership = *aProcess.m_leadership;
+    const bool isLatest =
+      leadership.HasLivedThrough(aProcess.m_leads->m_claimLostAt, m_now);
+    const auto ends = std::chrono::duration_cast<Millis>(
+      aProcess.m_leads->m_manager->AllGrantsExpiry(m_now) - m_now);
+    const auto term = leadership.HighestTerm();
+    leadership.Resign(m_now);
+    StopLeading(aProcess, true);
+    for (auto& process : m_hosts) {
+      if (m_now >= std::max(process.m_pausedUntil, process.m_peersCutUntil) &&
+          Draw(10) != 0) {
+        process.m_leadership->OnResigned(
+          m_now, aProcess.m_id, term, ends, isLatest);
+      }
+    }
+  }
+
   FakeEndpoint& Endpoint(const std::string& aName)
   {
     return m_endpoints.at(static_cast<std::size_t>(aName.back() - '0'));
@@ -586,6 +605,10 @@
         continue;
       }
       Confirm(process);
+      if (process.m_leads->m_reclaimAt && Draw(100) == 0) {
+        Resign(process);
+        continue;
+      }
       if (process.m_leads->m_reclaimAt &&
           m_now >= *process.m_leads->m_reclaimAt) {
         Reclaim(process);
