Ownership: a started daemon lets a leader that lived through a restore claim

Cause: a daemon that starts on the host that the stored record names claims at once, since that run has ended. After a restore the record is older than the present leader, which had lived through the restore and was about to claim again. It lost its claim to a daemon that knows no holders, and all keys waited 19.5 s.

Change: a daemon that does not know the earlier leaders claims only after two heartbeat timeouts without a leader, or after a resignation.

--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -202,8 +202,9 @@
   if (!m_claim.m_knowsEarlier) {
     m_loadTrustedFrom = m_newestEnd + 1; // the end after the claim
   }
-  if (!m_leadership.ShouldClaim(now)) {
-    m_claiming = false; // a leader has become known since the read began
+  if (!m_leadership.ShouldClaim(now) ||
+      (!m_claim.m_knowsEarlier && !m_leadership.HasWaitedForLeader(now))) {
+    m_claiming = false; // a leader has become known, or may do so
     return;
   }
   Claim(m_newestEnd);
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -237,6 +237,11 @@
   /** Whether other hosts are known and none of them sends heartbeats. */
   [[nodiscard]] bool IsIsolated(TimePoint aNow) const;
 
+  /** Whether this daemon would have heard a leader that lived through a restore
+      of the store. Only such a leader can claim without that all keys have to
+      wait. */
+  [[nodiscard]] bool HasWaitedForLeader(TimePoint aNow) const noexcept;
+
   /** The store has accepted this daemon's claim in the present era. */
   void OnClaimed(TimePoint aNow, const TermClaim& aClaim);
 
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -520,6 +520,26 @@
   CHECK(leadership.IsIsolated(At(4000)));
 }
 
+// Guards against a wait of all keys (soak seed 211 with restores): a daemon
+// that had just started claimed at once, since the run named by the restored
+// record had ended, and replaced a leader that had lived through the restore.
+TEST_CASE("a started daemon waits for a leader that lived through a restore",
+          "[keys]")
+{
+  Leadership started(LeadershipTimes{}, kSelf, 0.2, At(10'000));
+  started.SetStoreWorks(At(10'000), true);
+  started.OnRecord(At(10'050), { 3, { kSelf.m_host, 9 }, 0, 0 });
+  REQUIRE(started.ShouldClaim(At(10'100)));
+  CHECK_FALSE(started.HasWaitedForLeader(At(10'100)));
+  CHECK_FALSE(started.HasWaitedForLeader(At(11'399)));
+  CHECK(started.HasWaitedForLeader(At(11'400)));
+  SECTION("unless the leader resigns")
+  {
+    started.OnResigned(At(10'200), kOther, 4, Millis(4500), true);
+    CHECK(started.HasWaitedForLeader(At(10'200)));
+  }
+}
+
 TEST_CASE("a leader that claims again waits for daemons that fell silent",
           "[keys]")
 {
