--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -164,8 +164,8 @@
   void OnNewest(const KeyedPage& aPage);
   void Claim(Offset aEnd);
   void OnClaimAppend(const AppendOutcome& aOutcome);
-  /** Takes the era of an answer of the store. Returns false if it is not the
-      one that was known before. */
+  /** Takes the era of an answer of the store. Returns false if it is later than
+      the one that was known, so that the state of this daemon has changed. */
   [[nodiscard]] bool IsOfKnownEra(StoreEra aEra);
   void BeginLeading();
   void StepDown(std::string_view aWhy);
@@ -247,7 +247,7 @@
   /** Whether this leader has to claim again, because the store has lost its
       claim. */
   bool m_reclaiming = false;
-  /** When this leader learned that. */
+  /** When this leader learned that its claim was lost. */
   TimePoint m_claimLostAt{};
   /** Term and m_trustedFrom of the last such claim. */
   Term m_reclaimTerm = 0;
--- a/src/sapphirehook/keys/range_manager.hpp
+++ b/src/sapphirehook/keys/range_manager.hpp
@@ -349,6 +349,7 @@
   TimePoint m_confirmedAt{};
   std::uint64_t m_nextId = 1;
   std::map<Key, Range> m_ranges;
+  /** Blocks whose stored assignments may be out of date. */
   std::set<unsigned> m_unknownBlocks;
   std::map<EndpointIncarnation, RangeManagerEndpoint> m_endpoints;
   std::map<EndpointIncarnation, double> m_keyCounts;
