Ownership: a store without a leader record is not new if the fleet has run

Cause: the store was restored to before the first claim of the fleet, while all gateways were killed. The started ones found no record of a leader and no peer that had seen the restore, and granted all keys at once.

Change: settings with first_start: false say that the fleet has run before. A daemon then treats a missing record as lost, and waits for all earlier grants. The soak writes the setting as the platform does: true for the first start of a gateway, false for later ones.

The case is in the test of KnowsEarlierLeaders.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -5,6 +5,8 @@
 #include "support/loopback.hpp"
 
 #include <fstream>
+#include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace sapphirehook::soak {
@@ -20,6 +22,20 @@
 /** Delay before a configuration that the store did not accept is sent again. */
 constexpr Millis kPutRetryDelay{ 100 };
 
+/** Changes a gateway's settings to those of a later start. */
+void
+SetNotFirstStart(const std::string& aFile)
+{
+  std::stringstream text;
+  text << std::ifstream(aFile).rdbuf();
+  auto settings = text.str();
+  constexpr std::string_view kFirst = "first_start: true";
+  if (const auto at = settings.find(kFirst); at != std::string::npos) {
+    settings.replace(at, kFirst.size(), "first_start: false");
+    std::ofstream(aFile) << settings;
+  }
+}
+
 } // namespace
 
 Fleet::Fleet(EventLoop& aLoop,
@@ -86,7 +102,7 @@
     << "\nretry_budget_ratio: 0.2\nretry_budget_slack: 56"
     << "\nretry_budget_window_s: 10\nendpoint_heartbeat_ms: 400\nmax_hold_ms: "
        "10000"
-    << "\nstop_grace_s: 6\ndrain_ms: 2000\n";
+    << "\nstop_grace_s: 6\ndrain_ms: 2000\nfirst_start: true\n";
 }
 
 void
@@ -96,6 +112,9 @@
   gateway.m_stopping = false;
   gateway.m_frozen = false;
   gateway.m_failedChecks = kMaxFailedChecks;
+  if (std::exchange(gateway.m_hasRun, true)) {
+    SetNotFirstStart(gateway.m_settings);
+  }
   gateway.m_process = std::make_unique<Process>(
     std::vector<std::string>{
       m_options.m_gateway, "--settings", gateway.m_settings },
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -38,6 +38,7 @@
   std::unique_ptr<LoopbackProxy> m_storeLink;
   std::unique_ptr<HttpClient> m_ready;
   std::unique_ptr<Process> m_process;
+  bool m_hasRun = false;
   unsigned m_failedChecks = 2;
   bool m_frozen = false;
   /** A planned stop is in progress. */
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -106,6 +106,7 @@
 OwnershipSettingsOf(const GatewaySettings& aSettings)
 {
   OwnershipSettings settings;
+  settings.m_fleetHasRun = aSettings.m_fleetHasRun;
   settings.m_store = ToSocketAddress(aSettings.m_store);
   settings.m_processorShare = aSettings.m_processorShare;
   settings.m_rangeManager.m_leaseDuration = std::min(
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -61,6 +61,9 @@
     }
   })
 {
+  if (aSettings.m_fleetHasRun) {
+    m_leadership.OnFleetHasRun();
+  }
   m_timer.StartEvery(kFollowerTick);
 }
 
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -22,6 +22,9 @@
 {
   sockaddr_in m_store{};
   double m_processorShare = 0.0;
+  /** Whether the daemons have run before, so that a store without a leader
+      record has lost it. */
+  bool m_fleetHasRun = false;
   LeadershipTimes m_leadership;
   RangeManagerTimes m_rangeManager;
   /** Limit of the map data sent on request, in bytes per second. */
--- a/src/sapphirehook/gateway/settings.cpp
+++ b/src/sapphirehook/gateway/settings.cpp
@@ -92,6 +92,7 @@
     Positive(aRoot, "retry_budget_window_s", kSecond);
   settings.m_firstStart =
     aRoot["first_start"] && Setting<bool>(aRoot, "first_start");
+  settings.m_fleetHasRun = aRoot["first_start"] && !settings.m_firstStart;
   settings.m_endpointHeartbeat =
     Positive(aRoot, "endpoint_heartbeat_ms", kMilli);
   settings.m_maxLeaseDuration = Positive(aRoot, "max_hold_ms", kMilli);
--- a/src/sapphirehook/gateway/settings.hpp
+++ b/src/sapphirehook/gateway/settings.hpp
@@ -36,6 +36,8 @@
   BudgetConfig m_retryBudget;
   /** Whether all daemons start for the first time, at about the same moment. */
   bool m_firstStart = false;
+  /** Whether the settings say that they have run before. */
+  bool m_fleetHasRun = false;
   /** Interval at which endpoints write their entries to the store. */
   Millis m_endpointHeartbeat{};
   /** Longest lease duration that endpoints accept. */
--- a/src/sapphirehook/keys/leadership.hpp
+++ b/src/sapphirehook/keys/leadership.hpp
@@ -195,6 +195,9 @@
   /** The store was restored while this daemon or a peer followed it. */
   void OnRestoreSeen() noexcept { m_sawRestore = true; }
 
+  /** The daemons of the fleet have run before, so there was a leader. */
+  void OnFleetHasRun() noexcept { m_fleetHasRun = true; }
+
   /** Whether the stored leader record names the last leader that may have
       granted keys. Otherwise a restore of the store has lost later claims, or
       may have. */
@@ -347,6 +350,7 @@
   /** End of the last pause after which another daemon may lead. */
   TimePoint m_pausedAt{};
   bool m_sawRestore = false;
+  bool m_fleetHasRun = false;
   TimePoint m_startedAt;
   /** When this daemon started, or last ceased to lead. */
   TimePoint m_idleSince;
--- a/src/sapphirehook/keys/leadership_terms.cpp
+++ b/src/sapphirehook/keys/leadership_terms.cpp
@@ -33,9 +33,10 @@
   // The store shows every claim that a daemon could hear of, unless it has lost
   // some.
   const bool isLatest = m_term <= (aStored ? aStored->m_term : Term{ 0 });
-  const bool isOfEra =
-    aStored && aStored->m_era ? *aStored->m_era == m_era : !m_sawRestore;
-  return isLatest && isOfEra;
+  if (!isLatest || (!aStored && m_fleetHasRun)) {
+    return false;
+  }
+  return aStored && aStored->m_era ? *aStored->m_era == m_era : !m_sawRestore;
 }
 
 bool
--- a/test/sapphirehook/keys/leadership.cpp
+++ b/test/sapphirehook/keys/leadership.cpp
@@ -623,8 +623,21 @@
   SECTION("a store without a record is new, or has lost the first claim")
   {
     CHECK(leadership.KnowsEarlierLeaders(std::nullopt));
-    leadership.OnRestoreSeen();
-    CHECK_FALSE(leadership.KnowsEarlierLeaders(std::nullopt));
+    SECTION("a restore was seen")
+    {
+      leadership.OnRestoreSeen();
+      CHECK_FALSE(leadership.KnowsEarlierLeaders(std::nullopt));
+    }
+    SECTION("the fleet has run before")
+    {
+      // Found by the soak, seed 3 with restores: all daemons were killed after
+      // a restore to before the first claim.
+      leadership.OnFleetHasRun();
+      CHECK_FALSE(leadership.KnowsEarlierLeaders(std::nullopt));
+      record.m_era = 1;
+      leadership.OnRecord(At(1500), record);
+      CHECK(leadership.KnowsEarlierLeaders(record));
+    }
   }
   SECTION("a record of an earlier version is trusted unless a restore was seen")
   {
