--- a/review/12/case.py
+++ b/review/12/case.py
@@ -16,20 +16,27 @@
 SHARE = 0.5        # garble: share of the servers
 SPOILED = 0.02     # garble: x, part of the answers of a server
 GARBLE_S = 5.5     # garble: for_s
-GAP = 0.8          # from one scale_in to the next, as in the day trouble-1
+FIRST_LEAVES = 4.5 # from the start of the garble
+GAP = 0.5          # from one scale_in to the next
 DRAIN_S = 2.0      # drain-ms
+CLIENTS = 24
 
 
 class Faulty(Server):
     """While it is faulty, it spoils a byte of the status of some answers, those to
-    grants of the keys that it takes first, up to 2 in 100 of all its answers."""
+    grants of the keys that it takes first. At each moment, these are at most 2 in
+    100 of the answers that it has given since it became faulty."""
 
     faulty = False
-    answers = 0
+    answers = 0    # since it became faulty
     spoiled = 0
     spoiled_at = 0.0
     picked = None  # keys that it has taken while faulty
 
+    def set_faulty(self, faulty):
+        self.faulty, self.picked = faulty, None
+        self.answers = self.spoiled = 0
+
     async def _serve(self, reader, writer):
         while True:
             got = await read_message(reader)
@@ -140,7 +147,7 @@
                 served += status == 200
                 await asyncio.sleep(0.03)
 
-        for _ in range(10):
+        for _ in range(CLIENTS):
             asyncio.ensure_future(client())
         asyncio.ensure_future(owner.watch())
 
@@ -157,12 +164,13 @@
             await old.listener.crash()
             record(f"server {old.name} has left")
 
-        await asyncio.sleep(30)
+        await asyncio.sleep(20)
+        doses = []
         for _ in range(4):
-            faulty = sorted(live, key=lambda one: -one.answers)[
-                :int(SERVERS * SHARE)]
+            faulty = rng.sample(live, int(SERVERS * SHARE))
             for one in faulty:
-                one.faulty = trouble
+                one.set_faulty(trouble)
+            await asyncio.sleep(FIRST_LEAVES)
             first = [one for one in live if one not in faulty][0]
             asyncio.ensure_future(leave(first))
             await asyncio.sleep(GAP)
@@ -170,16 +178,17 @@
             # that has got keys last.
             second = max(faulty, key=lambda one: one.spoiled_at)
             asyncio.ensure_future(leave(second))
-            await asyncio.sleep(GARBLE_S - GAP)
+            await asyncio.sleep(GARBLE_S - FIRST_LEAVES - GAP)
+            doses.append({one.name: f"{one.spoiled} of {one.answers}"
+                          for one in faulty})
             for one in faulty:
-                one.faulty, one.picked = False, None
+                one.set_faulty(False)
+            await asyncio.sleep(3)
             if owner.broken:
                 break
             live.extend([await add(), await add()])
             await asyncio.sleep(10)
-        spoiled = {one.name: f"{one.spoiled} of {one.answers}" for one in servers
-                   if one.spoiled}
-        record(f"{served} of {clients.number} requests served; spoiled: {spoiled}; "
+        record(f"{served} of {clients.number} requests served; spoiled: {doses}; "
                f"OWNER broken {len(owner.broken)} times")
         return 1 if owner.broken else 0 if served else 2
     finally:
