--- a/soak/endpoint.cpp
+++ b/soak/endpoint.cpp
@@ -175,6 +175,9 @@
     OnGrant(aExchange);
   } else if (platform::IsRelease(aExchange->m_head)) {
     OnRelease(aExchange);
+  } else if (const auto identity = platform::IdentityReply(
+               aExchange->m_head, kHealthPath, m_options.m_name)) {
+    aExchange->Answer(*identity);
   } else {
     OnRequest(aExchange);
   }
@@ -287,15 +290,10 @@
 {
   const auto& headers = aExchange->m_head.m_headers;
   const auto* id = FindHeader(headers, m_protocol.m_attemptHeader);
-  const auto* expected = FindHeader(headers, m_protocol.m_expectHeader);
   if (id == nullptr) {
     RefuseNotRun(aExchange, kBadRequest);
     return;
   }
-  if (expected != nullptr && *expected != m_options.m_name) {
-    RefuseNotRun(aExchange, kMisdirected);
-    return;
-  }
   if (m_queue.size() >= kMaxQueued) {
     RefuseNotRun(aExchange, kUnavailable);
     return;
--- a/soak/endpoint.hpp
+++ b/soak/endpoint.hpp
@@ -15,6 +15,9 @@
 
 namespace sapphirehook::soak {
 
+/** Path of the endpoints' health checks. */
+inline constexpr const char* kHealthPath = "/health";
+
 /** Faults of a stand-in endpoint. */
 struct EndpointFault
 {
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -212,6 +212,7 @@
     add("/probe/", RequestKind::Idempotent, "plain", 3);
   }
   config.m_services["keyed"].m_keyed = true;
+  config.m_services["keyed"].m_healthPath = kHealthPath;
   config.m_services["plain"].m_keyed = false;
   return config;
 }
--- a/src/sapphirehook/discovery/fwd.hpp
+++ b/src/sapphirehook/discovery/fwd.hpp
@@ -8,6 +8,8 @@
 struct EndpointRecord;
 struct KnownEndpoint;
 class EndpointDirectory;
+class EndpointLiveness;
+struct LivenessTimes;
 
 } // namespace sapphirehook
 
--- a/src/sapphirehook/gateway/endpoint_commands.cpp
+++ b/src/sapphirehook/gateway/endpoint_commands.cpp
@@ -27,6 +27,14 @@
     often whether it is established. */
 constexpr Millis kSpareWait{ 40 };
 constexpr Millis kSparePoll{ 2 };
+/** Queued grants wait at most this long until a connection is identified, and
+    check this often whether it is. */
+constexpr Millis kIdentityWait{ 350 };
+constexpr Millis kIdentityPoll{ 50 };
+/** A health check waits for a slot of the endpoint. */
+constexpr Millis kIdentifyTimeout{ 1000 };
+/** Shortest time between the starts of two health checks of an endpoint. */
+constexpr Millis kIdentifyInterval{ 300 };
 
 } // namespace
 
@@ -41,12 +49,15 @@
   , m_events(std::move(aEvents))
   , m_fenceRenewalTimer(aLoop, [this] { m_renewingFences = false; })
   , m_spareTimer(aLoop, [this] { SendNext(); })
+  , m_identityClient(aLoop, aRecord.m_address, kMaxCommandResponseBytes)
+  , m_identityTimer(aLoop, [this] { SendNext(); })
   , m_answeredAt(BootClock::now())
 {
   for (std::size_t i = 0; i < kGrantClients; ++i) {
     m_grantClients.push_back({ std::make_unique<HttpClient>(
                                  m_loop, m_address, kMaxCommandResponseBytes),
                                std::nullopt });
+    m_grantClients.back().m_client->m_maySend = m_events.m_leadsToEndpoint;
   }
 }
 
@@ -123,6 +134,80 @@
   return true;
 }
 
+bool
+EndpointCommands::IsIdentified(const HttpClient& aClient) const
+{
+  const auto since = aClient.ConnectedAt();
+  return since && m_events.m_leadsToEndpoint(*since);
+}
+
+bool
+EndpointCommands::AwaitsIdentity(const HttpClient& aClient)
+{
+  if (!aClient.IsConnected()) {
+    return false; // it is checked when it is established
+  }
+  if (IsIdentified(aClient)) {
+    m_identityAwaitedSince.reset();
+    return false;
+  }
+  Identify();
+  const TimePoint now = BootClock::now();
+  if (!m_identityAwaitedSince) {
+    m_identityAwaitedSince = now;
+  }
+  if (now >= *m_identityAwaitedSince + kIdentityWait) {
+    m_identityAwaitedSince.reset();
+    DropQueue();
+  } else {
+    m_identityTimer.Start(kIdentityPoll);
+  }
+  return true;
+}
+
+void
+EndpointCommands::Identify()
+{
+  const TimePoint now = BootClock::now();
+  const auto path = m_events.m_healthPath();
+  if (path.empty() || m_identityClient.IsBusy() ||
+      now < m_identityAskedAt + kIdentifyInterval) {
+    return;
+  }
+  m_identityAskedAt = now;
+  m_identityClient.Call(
+    m_protocol.m_identify(path, m_incarnation.m_name),
+    kIdentifyTimeout,
+    [this, now](const CallResult& aResult) { OnIdentity(now, aResult); });
+}
+
+void
+EndpointCommands::OnIdentity(TimePoint aAskedAt, const CallResult& aResult)
+{
+  m_identityClient.Close();
+  switch (m_protocol.m_parseIdentity(aResult, m_incarnation.m_name)) {
+    case EndpointIdentity::Expected:
+      m_events.m_onAlive(aAskedAt);
+      SendNext();
+      break;
+    case EndpointIdentity::Other:
+      m_events.m_onOtherEndpoint();
+      for (auto& client : m_grantClients) {
+        if (!client.IsTrusted()) {
+          client.m_client->Close();
+        }
+      }
+      for (const auto& client : m_releaseClients) {
+        client->Close();
+      }
+      RecordFailure();
+      DropQueue();
+      break;
+    case EndpointIdentity::Unknown:
+      break;
+  }
+}
+
 void
 EndpointCommands::Grant(const EndpointGrant& aGrant)
 {
@@ -150,6 +235,8 @@
 {
   DropQueue();
   m_spareTimer.Stop();
+  m_identityTimer.Stop();
+  m_identityClient.Abort();
   for (const auto& client : m_grantClients) {
     client.m_client->AbandonCall();
   }
@@ -161,6 +248,11 @@
 void
 EndpointCommands::SendNext()
 {
+  // The owner has checked this when it queued the grants, which may have waited
+  // since.
+  if (!m_queue.empty() && !m_events.m_mayCommand()) {
+    DropQueue();
+  }
   while (!m_queue.empty()) {
     if (auto* trusted = FreeClient(true)) {
       if (AwaitsSpare(*trusted)) {
@@ -177,7 +269,7 @@
       RequestNewFences();
       return;
     } else if (auto* first = FreeClient(false)) {
-      if (AwaitsSpare(*first)) {
+      if (AwaitsSpare(*first) || AwaitsIdentity(*first->m_client)) {
         return;
       }
       m_sentWithCurrentFences = true;
@@ -215,19 +307,28 @@
      &aClient,
      connectedAt = aClient.m_client->ConnectedAt(),
      sentAt = BootClock::now(),
-     id = grant.m_id](const CallResult& aResult) {
-      OnGrantResult(aClient, { connectedAt, sentAt }, id, aResult);
+     grant](const CallResult& aResult) {
+      OnGrantResult(aClient, { connectedAt, sentAt }, grant, aResult);
     });
 }
 
 void
 EndpointCommands::OnGrantResult(GrantClient& aClient,
                                 const SentGrant& aSent,
-                                std::uint64_t aId,
+                                const EndpointGrant& aGrant,
                                 const CallResult& aResult)
 {
   const bool first = std::exchange(m_firstInFlight, false);
+  if (first && aResult.m_end == CallEnd::NotSent &&
+      aClient.m_client->IsConnected()) {
+    // The connection has yet to be identified. No fence has been sent on it.
+    m_sentWithCurrentFences = false;
+    m_queue.push_front(aGrant);
+    SendNext();
+    return;
+  }
   if (aResult.m_end == CallEnd::Answered) {
+    m_events.m_onAlive(aSent.m_sentAt);
     if (first) {
       aClient.m_trustedAt = aClient.m_client->ConnectedAt();
     }
@@ -244,7 +345,7 @@
     m_closesConnections = !aClient.m_client->IsConnected();
   }
   RecordResult(aResult);
-  m_events.m_onGrantEnd(aId, m_protocol.m_parseCommandResult(aResult));
+  m_events.m_onGrantEnd(aGrant.m_id, m_protocol.m_parseCommandResult(aResult));
   SendNext();
 }
 
@@ -261,32 +362,55 @@
     m_releaseClients.push_back(std::make_unique<HttpClient>(
       m_loop, m_address, kMaxCommandResponseBytes));
     client = m_releaseClients.back().get();
+    client->m_maySend = m_events.m_leadsToEndpoint;
+  }
+  if (client->IsConnected() && !IsIdentified(*client)) {
+    EndRelease(*client, aRelease.m_id, {});
+    return;
   }
   client->Call(m_protocol.m_release(aRelease.m_command),
                kReleaseTimeout,
                [this, client, id = aRelease.m_id](const CallResult& aResult) {
-                 if (aResult.m_end != CallEnd::NoAnswer) {
-                   RecordResult(aResult);
-                 }
-                 // If the endpoint sends the answer twice, the second copy must
-                 // not count as the answer to the next release.
-                 client->Close();
-                 m_events.m_onReleaseEnd(
-                   id, m_protocol.m_parseCommandResult(aResult));
+                 EndRelease(*client, id, aResult);
                });
 }
 
+void
+EndpointCommands::EndRelease(HttpClient& aClient,
+                             std::uint64_t aId,
+                             const CallResult& aResult)
+{
+  if (aResult.m_end == CallEnd::NotSent && aClient.IsConnected()) {
+    // The owner sends the release again, on this connection once it has been
+    // identified.
+    Identify();
+  } else {
+    if (aResult.m_end != CallEnd::NoAnswer) {
+      RecordResult(aResult);
+    }
+    // If the endpoint sends the answer twice, the second copy must not count as
+    // the answer to the next release.
+    aClient.Close();
+  }
+  m_events.m_onReleaseEnd(aId, m_protocol.m_parseCommandResult(aResult));
+}
+
 void
 EndpointCommands::RecordResult(const CallResult& aResult)
 {
-  const TimePoint now = BootClock::now();
   if (aResult.m_end == CallEnd::Answered) {
-    m_answeredAt = now;
+    m_answeredAt = BootClock::now();
     m_unanswered = 0;
     return;
   }
+  RecordFailure();
+}
+
+void
+EndpointCommands::RecordFailure()
+{
   ++m_unanswered;
-  m_lastUnansweredAt = now;
+  m_lastUnansweredAt = BootClock::now();
 }
 
 bool
--- a/src/sapphirehook/gateway/endpoint_commands.hpp
+++ b/src/sapphirehook/gateway/endpoint_commands.hpp
@@ -22,6 +22,17 @@
   /** Called when no connection to the known incarnation of the endpoint is
       left, so the endpoint may have restarted. */
   std::function<void()> m_onNewConnection;
+  /** Returns whether a connection that was established at a time leads to the
+      endpoint, and not to a later one at the same address. */
+  std::function<bool(TimePoint aConnectedAt)> m_leadsToEndpoint;
+  /** The endpoint ran at a time. */
+  std::function<void(TimePoint aAt)> m_onAlive;
+  /** Another endpoint answers at the address. */
+  std::function<void()> m_onOtherEndpoint;
+  /** Returns whether this daemon may still command endpoints. */
+  std::function<bool()> m_mayCommand;
+  /** Returns the path of the endpoint's health check; empty if it has none. */
+  std::function<std::string()> m_healthPath;
 };
 
 /** Sends the leader's commands to an endpoint over a few persistent
@@ -34,7 +45,13 @@
     once it is trusted, i.e. it certainly leads to the same incarnation as the
     trusted connections before it: one of those has answered a call that was
     sent after the new connection was established. When no trusted connection is
-    left, the owner issues new fences. */
+    left, the owner issues new fences.
+
+    After the end of the endpoint, its address may belong to another endpoint.
+    The first connection, and each one for a release, therefore carries a
+   command only once it has been identified (see EndpointLiveness). While it is
+   not, the endpoint is asked for its name on a connection of its own, since a
+   health check may have to wait for a slot. */
 class EndpointCommands
 {
 public:
@@ -64,6 +81,19 @@
   void SendNext();
   void DropQueue();
   void RecordResult(const CallResult& aResult);
+  /** Counts a command without an answer. */
+  void RecordFailure();
+  /** Whether a connection leads to the endpoint. */
+  [[nodiscard]] bool IsIdentified(const HttpClient& aClient) const;
+  /** Whether the queued grants have to wait until a connection is identified.
+      Drops them after a while. */
+  [[nodiscard]] bool AwaitsIdentity(const HttpClient& aClient);
+  /** Asks the endpoint for its name. */
+  void Identify();
+  void OnIdentity(TimePoint aAskedAt, const CallResult& aResult);
+  void EndRelease(HttpClient& aClient,
+                  std::uint64_t aId,
+                  const CallResult& aResult);
   /** Connection that sends grants. */
   struct GrantClient
   {
@@ -89,7 +119,7 @@
   [[nodiscard]] bool AwaitsSpare(GrantClient& aClient);
   void OnGrantResult(GrantClient& aClient,
                      const SentGrant& aSent,
-                     std::uint64_t aId,
+                     const EndpointGrant& aGrant,
                      const CallResult& aResult);
   void RequestNewFences();
   [[nodiscard]] GrantClient* FreeClient(bool aTrusted);
@@ -107,6 +137,11 @@
   /** Checks whether the second connection is established. */
   Timer m_spareTimer;
   std::optional<TimePoint> m_spareAwaitedSince;
+  HttpClient m_identityClient;
+  /** Checks whether the connection has been identified. */
+  Timer m_identityTimer;
+  std::optional<TimePoint> m_identityAwaitedSince;
+  TimePoint m_identityAskedAt{};
   /** Whether the endpoint closed the connection after its last answer. */
   bool m_closesConnections = false;
   TimePoint m_answeredAt;
--- a/src/sapphirehook/gateway/gateway.cpp
+++ b/src/sapphirehook/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
 #include "sapphirehook/core/text.hpp"
+#include "sapphirehook/gateway/internal/entry_lapse.hpp"
 #include "sapphirehook/gateway/internal/reader_times.hpp"
 
 #include <algorithm>
@@ -130,6 +131,9 @@
   , m_protocol(std::move(aProtocol))
   , m_log(m_settings.m_host)
   , m_directory(m_settings.m_drain - kDrainMargin)
+  , m_liveness(
+      m_directory,
+      { m_settings.m_addressReuse, EntryLapse(m_settings.m_endpointHeartbeat) })
   , m_engine(m_loop,
              m_protocol,
              m_log,
@@ -153,7 +157,8 @@
                 OwnershipSettingsOf(m_settings),
                 m_gossip,
                 m_engine,
-                m_directory)
+                m_directory,
+                m_liveness)
   , m_registry(m_loop,
                m_protocol.m_store,
                ToSocketAddress(m_settings.m_store),
@@ -214,6 +219,11 @@
       m_topicStates.at(m_protocol.m_configTopic).m_readSchedule;
     return BootClock::now() >= readSchedule.CompleteAt() + kConfigApplyLimit;
   };
+  m_engine.m_onEndpointAnswered = [this](const std::string& aEndpoint,
+                                         const sockaddr_in& aAddress,
+                                         TimePoint aSentAt) {
+    m_liveness.OnAlive(aEndpoint, aAddress, aSentAt);
+  };
   m_engine.m_onMisdirected = [this](const std::string& aService, Key aKey) {
     m_ownership.OnMisdirected(aService, aKey);
   };
@@ -376,6 +386,7 @@
   const TimePoint now = BootClock::now();
   m_directory.ConfirmListed(now);
   m_directory.Forget(now, kForgetAfter);
+  m_liveness.Forget(now);
   m_engine.SetEndpoints(now, m_directory);
   m_ownership.OnChange();
   m_engine.ProcessQueues();
--- a/src/sapphirehook/gateway/gateway.hpp
+++ b/src/sapphirehook/gateway/gateway.hpp
@@ -126,6 +126,7 @@
   EventLoop m_loop;
   EventLog m_log;
   EndpointDirectory m_directory;
+  EndpointLiveness m_liveness;
   RequestEngine m_engine;
   Gossip m_gossip;
   Ownership m_ownership;
--- a/src/sapphirehook/gateway/gateway_era.cpp
+++ b/src/sapphirehook/gateway/gateway_era.cpp
@@ -1,5 +1,7 @@
 #include "sapphirehook/gateway/gateway.hpp"
 
+#include "sapphirehook/gateway/internal/entry_lapse.hpp"
+
 #include <algorithm>
 
 // What a restore of the store from an older copy changes: offsets, entries that
@@ -7,18 +9,6 @@
 
 namespace sapphirehook {
 
-namespace {
-
-/** Time after a restore in which a listed entry may come from the copy without
-    a living owner. Such an entry lapses after three missed heartbeats of its
-    owner, which are counted from the restore. */
-constexpr int kHeartbeatsUntilLapsed = 3;
-/** Additional time for the check of the store that lets the entry lapse and for
-    the removal to arrive. */
-constexpr Millis kLapseMargin{ 500 };
-
-} // namespace
-
 /** A daemon learns of an era from the answers to its own reads and from its
     peers. All topics are of one store, so all readers begin the era. */
 void
@@ -30,6 +20,7 @@
   const TimePoint now = BootClock::now();
   const StoreEra before = std::exchange(m_storeEra, aEra);
   m_eraBeganAt.reset();
+  m_liveness.OnStoreUnavailable(now);
   if (m_configReader.IsCaughtUp() || m_endpointReader.IsCaughtUp()) {
     m_eraBeganAt = now;
     m_outages.OnRestored(now);
@@ -71,8 +62,7 @@
   if (!m_eraBeganAt || aOffset >= m_endpointReader.RestoredEnd()) {
     return std::nullopt;
   }
-  return *m_eraBeganAt +
-         kHeartbeatsUntilLapsed * m_settings.m_endpointHeartbeat + kLapseMargin;
+  return *m_eraBeganAt + internal::EntryLapse(m_settings.m_endpointHeartbeat);
 }
 
 /** Puts the configuration that was read at the start into force once no peer
--- a/src/sapphirehook/gateway/gateway_state.cpp
+++ b/src/sapphirehook/gateway/gateway_state.cpp
@@ -10,6 +10,7 @@
 Gateway::OnStoreFailure(std::string_view aTopic, StoreAnswer aAnswer)
 {
   const TimePoint now = BootClock::now();
+  m_liveness.OnStoreUnavailable(now);
   if (aAnswer == StoreAnswer::TurnedAway) {
     m_outages.OnRefused(now);
   } else {
--- a/src/sapphirehook/gateway/gateway_topics.cpp
+++ b/src/sapphirehook/gateway/gateway_topics.cpp
@@ -178,6 +178,9 @@
   const EndConfirmation previous =
     std::exchange(topicState.m_ownConfirmation, aConfirmation);
   topicState.m_readSchedule.OnOwnConfirmation(aConfirmation);
+  if (aTopic == m_protocol.m_endpointTopic) {
+    m_liveness.OnComplete(aConfirmation.m_at);
+  }
   OnStoreWorks(aTopic);
   // The next successors get the confirmation before they would start to read.
   if (RelaysTopic(aTopic) &&
--- a/src/sapphirehook/gateway/ownership.cpp
+++ b/src/sapphirehook/gateway/ownership.cpp
@@ -37,7 +37,8 @@
                      OwnershipSettings aSettings,
                      Gossip& aGossip,
                      RequestEngine& aEngine,
-                     const EndpointDirectory& aDirectory)
+                     const EndpointDirectory& aDirectory,
+                     EndpointLiveness& aLiveness)
   : m_loop(aLoop)
   , m_protocol(aProtocol)
   , m_log(aLog)
@@ -45,6 +46,7 @@
   , m_gossip(aGossip)
   , m_engine(aEngine)
   , m_directory(aDirectory)
+  , m_liveness(aLiveness)
   , m_leadership(aSettings.m_leadership,
                  aGossip.Self(),
                  aSettings.m_processorShare,
--- a/src/sapphirehook/gateway/ownership.hpp
+++ b/src/sapphirehook/gateway/ownership.hpp
@@ -2,6 +2,7 @@
 #define SAPPHIREHOOK_GATEWAY_OWNERSHIP_HPP
 
 #include "sapphirehook/core/event_log.hpp"
+#include "sapphirehook/discovery/endpoint_liveness.hpp"
 #include "sapphirehook/gateway/endpoint_commands.hpp"
 #include "sapphirehook/gateway/map_exchange.hpp"
 #include "sapphirehook/keys/initial_ranges.hpp"
@@ -45,7 +46,8 @@
             OwnershipSettings aSettings,
             Gossip& aGossip,
             RequestEngine& aEngine,
-            const EndpointDirectory& aDirectory);
+            const EndpointDirectory& aDirectory,
+            EndpointLiveness& aLiveness);
   ~Ownership();
 
   /** Processes a change of the configuration or of the endpoints. */
@@ -201,6 +203,7 @@
     TimePoint aNow,
     const std::string& aService);
   EndpointCommands* CommandsFor(const std::string& aEndpoint);
+  [[nodiscard]] CommandEvents CommandEventsFor(const EndpointRecord& aRecord);
   void OnLeaderHeartbeat(const HostId& aFrom,
                          const GossipHeartbeat& aHeartbeat);
   [[nodiscard]] std::set<std::string> KeyedServices() const;
@@ -212,6 +215,7 @@
   Gossip& m_gossip;
   RequestEngine& m_engine;
   const EndpointDirectory& m_directory;
+  EndpointLiveness& m_liveness;
   Leadership m_leadership;
   MapExchange m_maps;
   std::unique_ptr<TopicReader> m_reader;
--- a/src/sapphirehook/gateway/ownership_leader.cpp
+++ b/src/sapphirehook/gateway/ownership_leader.cpp
@@ -155,39 +155,64 @@
     m_loop.Retire(std::shared_ptr<EndpointCommands>(std::move(commands)));
   }
   if (!commands) {
-    const std::string service = known->m_record.m_service;
     commands = std::make_unique<EndpointCommands>(
-      m_loop,
-      m_protocol,
-      known->m_record,
-      CommandEvents{
-        [this, service](std::uint64_t aId, const CommandResult& aAnswer) {
-          const auto ledService = m_ledServices.find(service);
-          if (ledService != m_ledServices.end()) {
-            ledService->second.m_rangeManager.OnGrantEnd(
-              BootClock::now(), aId, aAnswer);
-            TickSoon();
-          }
-        },
-        [this, service](std::uint64_t aId, const CommandResult& aAnswer) {
-          const auto ledService = m_ledServices.find(service);
-          if (ledService != m_ledServices.end()) {
-            ledService->second.m_rangeManager.OnReleaseEnd(
-              BootClock::now(), aId, aAnswer);
-            TickSoon();
-          }
-        },
-        [this, service, aEndpoint] {
-          const auto ledService = m_ledServices.find(service);
-          if (ledService != m_ledServices.end()) {
-            ledService->second.m_rangeManager.OnNewConnection(BootClock::now(),
-                                                              aEndpoint);
-          }
-        } });
+      m_loop, m_protocol, known->m_record, CommandEventsFor(known->m_record));
   }
   return commands.get();
 }
 
+CommandEvents
+Ownership::CommandEventsFor(const EndpointRecord& aRecord)
+{
+  const auto manager = [this, service = aRecord.m_service]() -> RangeManager* {
+    const auto led = m_ledServices.find(service);
+    return led == m_ledServices.end() ? nullptr : &led->second.m_rangeManager;
+  };
+  CommandEvents events;
+  events.m_onGrantEnd = [this, manager](std::uint64_t aId,
+                                        const CommandResult& aAnswer) {
+    if (auto* ranges = manager()) {
+      ranges->OnGrantEnd(BootClock::now(), aId, aAnswer);
+      TickSoon();
+    }
+  };
+  events.m_onReleaseEnd = [this, manager](std::uint64_t aId,
+                                          const CommandResult& aAnswer) {
+    if (auto* ranges = manager()) {
+      ranges->OnReleaseEnd(BootClock::now(), aId, aAnswer);
+      TickSoon();
+    }
+  };
+  const auto& incarnation = aRecord.m_incarnation;
+  events.m_onNewConnection = [manager, name = incarnation.m_name] {
+    if (auto* ranges = manager()) {
+      ranges->OnNewConnection(BootClock::now(), name);
+    }
+  };
+  events.m_leadsToEndpoint =
+    [this, incarnation, address = aRecord.m_address](TimePoint aConnectedAt) {
+      return m_liveness.LeadsTo(incarnation, address, aConnectedAt);
+    };
+  events.m_onAlive =
+    [this, name = incarnation.m_name, address = aRecord.m_address](
+      TimePoint aAt) { m_liveness.OnAlive(name, address, aAt); };
+  events.m_onOtherEndpoint = [this,
+                              name = incarnation.m_name,
+                              service = aRecord.m_service] {
+    m_log.Write(
+      LogLine("address-reused").Add("endpoint", name).Add("service", service));
+  };
+  events.m_mayCommand = [this] {
+    return m_leadership.HasAuthority(BootClock::now());
+  };
+  events.m_healthPath = [this, service = aRecord.m_service] {
+    const auto* routes = m_engine.Routes();
+    const auto* spec = routes ? routes->Service(service) : nullptr;
+    return spec ? spec->m_healthPath : std::string();
+  };
+  return events;
+}
+
 void
 Ownership::TickLedServices()
 {
--- a/src/sapphirehook/gateway/protocol.hpp
+++ b/src/sapphirehook/gateway/protocol.hpp
@@ -23,6 +23,16 @@
   std::optional<std::size_t> m_pace;
 };
 
+/** Which endpoint answered a health check. */
+enum class EndpointIdentity : unsigned char
+{
+  Expected,
+  /** An endpoint with another name. */
+  Other,
+  /** The answer does not say. */
+  Unknown,
+};
+
 /** Names and formats of the messages to and from callers, endpoints and the
     store. The functions only serialize and parse; all decisions are made by the
     gateway. */
@@ -48,6 +58,12 @@
   HttpCall (*m_release)(const ReleaseCommand& aCommand);
   CommandResult (*m_parseCommandResult)(const CallResult& aResult);
 
+  /** Returns the health check at a path that asks only the named endpoint. */
+  HttpCall (*m_identify)(const std::string& aHealthPath,
+                         const std::string& aEndpoint);
+  EndpointIdentity (*m_parseIdentity)(const CallResult& aResult,
+                                      const std::string& aEndpoint);
+
   /** Path of the balancer's readiness check. */
   std::string m_readyPath;
 
--- a/src/sapphirehook/gateway/request_attempts.cpp
+++ b/src/sapphirehook/gateway/request_attempts.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr int kRedirect = 300;
 /** Delay before the retry of a request whose key an endpoint refused. */
 constexpr Millis kMisdirectedRetryDelay{ 30 };
 constexpr const char* kStopReason = "stopping before the endpoint answered";
@@ -92,6 +93,13 @@
     aTransaction->m_refusedOn.push_back(aTransaction->m_upstream);
   }
   const TimePoint now = BootClock::now();
+  const bool isSuccess = aHead.m_status >= kOk && aHead.m_status < kRedirect;
+  if (end == AttemptEnd::Answered && isSuccess &&
+      !aTransaction->m_attemptId.empty() && m_onEndpointAnswered) {
+    m_onEndpointAnswered(aTransaction->m_sentTo,
+                         aTransaction->m_upstream->Peer(),
+                         aTransaction->m_sentAt);
+  }
   if (end != AttemptEnd::Misdirected) {
     TakeReportedLoad(now, *aTransaction, aHead);
   }
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -216,6 +216,13 @@
       a missing route is answered as temporary. */
   std::function<bool()> m_routesMayBeStale;
 
+  /** Called when an endpoint has answered a request that no other endpoint
+      would have run, sent to an address at a time. */
+  std::function<void(const std::string& aEndpoint,
+                     const sockaddr_in& aAddress,
+                     TimePoint aSentAt)>
+    m_onEndpointAnswered;
+
   /** Called when an endpoint refuses a key that the range map assigns to it. */
   std::function<void(const std::string& aService, Key aKey)> m_onMisdirected;
 
--- a/src/sapphirehook/gateway/settings.cpp
+++ b/src/sapphirehook/gateway/settings.cpp
@@ -1,5 +1,6 @@
 #include "sapphirehook/gateway/settings.hpp"
 
+#include <chrono>
 #include <stdexcept>
 #include <yaml-cpp/yaml.h>
 
@@ -95,6 +96,11 @@
   settings.m_fleetHasRun = aRoot["first_start"] && !settings.m_firstStart;
   settings.m_endpointHeartbeat =
     Positive(aRoot, "endpoint_heartbeat_ms", kMilli);
+  settings.m_addressReuse = std::chrono::duration_cast<Millis>(
+    std::chrono::duration<double>(NotNegative(
+      aRoot,
+      "address_reuse_s",
+      std::chrono::duration<double>(settings.m_addressReuse).count())));
   settings.m_maxLeaseDuration = Positive(aRoot, "max_hold_ms", kMilli);
   settings.m_stopGrace = Positive(aRoot, "stop_grace_s", kSecond);
   settings.m_drain = Positive(aRoot, "drain_ms", kMilli);
@@ -142,6 +148,7 @@
   compare("processor_share", &GatewaySettings::m_processorShare);
   compare("link_mbps", &GatewaySettings::m_linkMbps);
   compare("endpoint_heartbeat_ms", &GatewaySettings::m_endpointHeartbeat);
+  compare("address_reuse_s", &GatewaySettings::m_addressReuse);
   compare("max_hold_ms", &GatewaySettings::m_maxLeaseDuration);
   compare("drain_ms", &GatewaySettings::m_drain);
   compare("warm_up_overrun", &GatewaySettings::m_warmUpOverrun);
--- a/src/sapphirehook/gateway/settings.hpp
+++ b/src/sapphirehook/gateway/settings.hpp
@@ -40,6 +40,9 @@
   bool m_fleetHasRun = false;
   /** Interval at which endpoints write their entries to the store. */
   Millis m_endpointHeartbeat{};
+  /** Time from the end of an endpoint until its address may be assigned to
+      another endpoint. */
+  Millis m_addressReuse{ 2000 };
   /** Longest lease duration that endpoints accept. */
   Millis m_maxLeaseDuration{};
   /** Time from the first stop signal until the process is killed. A reload of
--- a/src/sapphirehook/gateway/upstream_connection.hpp
+++ b/src/sapphirehook/gateway/upstream_connection.hpp
@@ -80,6 +80,8 @@
 
   [[nodiscard]] bool IsConnected() const { return m_stream.IsConnected(); }
 
+  [[nodiscard]] const sockaddr_in& Peer() const noexcept { return m_peer; }
+
   /** Returns the bytes of the request that are not sent yet. */
   [[nodiscard]] std::size_t Unsent() const noexcept
   {
--- a/src/sapphirehook/http1/client.cpp
+++ b/src/sapphirehook/http1/client.cpp
@@ -19,6 +19,9 @@
 {
   std::string text = aCall.m_method + " " + aCall.m_target + " HTTP/1.1\r\n";
   AppendHeader(text, "Host", AddressText(aPeer));
+  for (const auto& header : aCall.m_headers) {
+    AppendHeader(text, header.m_name, header.m_value);
+  }
   if (!aCall.m_bodyType.empty()) {
     AppendHeader(text, "Content-Type", aCall.m_bodyType);
     AppendHeader(text, "Content-Length", std::to_string(aCall.m_body.size()));
@@ -97,6 +100,10 @@
 {
   m_connectedAt = BootClock::now();
   if (m_busy) {
+    if (m_maySend && !m_maySend(m_connectedAt)) {
+      Finish(CallEnd::NotSent);
+      return;
+    }
     m_sent = true;
     m_stream->Write(m_request);
   }
--- a/src/sapphirehook/http1/client.hpp
+++ b/src/sapphirehook/http1/client.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sapphirehook {
 
@@ -20,6 +21,8 @@
   /** Media type of the body; empty when there is no body. */
   std::string m_bodyType;
   std::string m_body;
+  /** Further headers. */
+  std::vector<Header> m_headers{};
 };
 
 /** The answer to an HttpCall. */
@@ -116,6 +119,11 @@
     return IsConnected() ? std::optional(m_connectedAt) : std::nullopt;
   }
 
+  /** Decides whether a call may be sent on a connection that was established
+      for it at a time. If not, the call ends as not sent, and the connection
+      stays open. Optional. */
+  std::function<bool(TimePoint aConnectedAt)> m_maySend;
+
   [[nodiscard]] bool IsConnected() const noexcept
   {
     return m_stream && m_stream->IsConnected();
--- a/test/process/configuration_spread.cpp
+++ b/test/process/configuration_spread.cpp
@@ -53,6 +53,7 @@
   add("added", AddedPath(aVersion));
   config.m_services["plain"].m_keyed = false;
   config.m_services["keyed"].m_keyed = true; // so that a leader is elected
+  config.m_services["keyed"].m_healthPath = soak::kHealthPath;
   return config;
 }
 
--- a/test/process/gateway_fixture.cpp
+++ b/test/process/gateway_fixture.cpp
@@ -220,6 +220,11 @@
     aExchange->Answer(platform::HandoverReply(m_record.m_incarnation.m_name));
     return;
   }
+  if (const auto identity = platform::IdentityReply(
+        aExchange->m_head, soak::kHealthPath, m_record.m_incarnation.m_name)) {
+    aExchange->Answer(*identity);
+    return;
+  }
   m_arrivals.push_back(BootClock::now());
   m_onRequest(aExchange);
 }
--- a/test/process/odd_entries.cpp
+++ b/test/process/odd_entries.cpp
@@ -28,6 +28,7 @@
   config.m_routes.push_back(std::move(route));
   config.m_services["plain"].m_keyed = false;
   config.m_services["keyed"].m_keyed = true;
+  config.m_services["keyed"].m_healthPath = soak::kHealthPath;
   return config;
 }
 
--- a/test/sapphirehook/gateway/endpoint_commands.cpp
+++ b/test/sapphirehook/gateway/endpoint_commands.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr const char* kHealthPath = "/health";
+
 /** Sends commands to an endpoint that can shut down gracefully or crash. */
 class Fixture
 {
@@ -19,6 +21,17 @@
     : m_address(support::FreeAddress())
     , m_server(m_loop,
                [this](const HttpExchangePtr& aExchange) {
+                 if (const auto identity = platform::IdentityReply(
+                       aExchange->m_head, kHealthPath, m_name)) {
+                   ++m_healthChecks;
+                   if (m_answersHealthChecks) {
+                     aExchange->Answer(*identity);
+                   } else {
+                     m_unanswered.push_back(aExchange);
+                   }
+                   return;
+                 }
+                 ++m_commandsReceived;
                  if (m_endlessAnswers) {
                    aExchange->AnswerRaw("HTTP/1.1 200 OK\r\n"
                                         "Transfer-Encoding: chunked\r\n\r\n");
@@ -33,16 +46,7 @@
                  reply.m_closesConnection = m_leaving;
                  aExchange->Answer(reply);
                })
-    , m_commands(m_loop,
-                 m_protocol,
-                 Record(),
-                 { [this](std::uint64_t, const CommandResult& aAnswer) {
-                    m_grantOutcomes.push_back(aAnswer.m_end);
-                  },
-                   [this](std::uint64_t, const CommandResult& aAnswer) {
-                     m_releaseOutcomes.push_back(aAnswer.m_end);
-                   },
-                   [this] { ++m_newConnections; } })
+    , m_commands(m_loop, m_protocol, Record(), Events())
   {
     REQUIRE(m_server.Listen(m_address));
   }
@@ -55,6 +59,29 @@
     return record;
   }
 
+  CommandEvents Events()
+  {
+    CommandEvents events;
+    events.m_onGrantEnd = [this](std::uint64_t, const CommandResult& aAnswer) {
+      m_grantOutcomes.push_back(aAnswer.m_end);
+    };
+    events.m_onReleaseEnd = [this](std::uint64_t,
+                                   const CommandResult& aAnswer) {
+      m_releaseOutcomes.push_back(aAnswer.m_end);
+    };
+    events.m_onNewConnection = [this] { ++m_newConnections; };
+    events.m_leadsToEndpoint = [this](TimePoint aConnectedAt) {
+      return aConnectedAt <= m_identifiedUntil;
+    };
+    events.m_onAlive = [this](TimePoint) {
+      m_identifiedUntil = TimePoint::max();
+    };
+    events.m_onOtherEndpoint = [this] { ++m_otherEndpoints; };
+    events.m_mayCommand = [this] { return m_mayCommand; };
+    events.m_healthPath = [] { return std::string(kHealthPath); };
+    return events;
+  }
+
   /** Sends up to 10 grants until one has a given outcome. Returns whether one
       had it. */
   bool GrantUntil(CommandOutcome aEnd)
@@ -84,6 +111,15 @@
   EventLoop m_loop;
   GatewayProtocol m_protocol = platform::Protocol();
   sockaddr_in m_address;
+  /** Name of the endpoint that answers. */
+  std::string m_name = "e";
+  /** Connections that were established by then lead to the endpoint. */
+  TimePoint m_identifiedUntil{};
+  bool m_mayCommand = true;
+  bool m_answersHealthChecks = true;
+  unsigned m_healthChecks = 0;
+  unsigned m_commandsReceived = 0;
+  unsigned m_otherEndpoints = 0;
   bool m_leaving = false;
   bool m_unresponsive = false;
   /** Whether the server starts answers that it never ends. */
@@ -211,6 +247,7 @@
           "[gateway]")
 {
   Fixture fixture;
+  fixture.m_identifiedUntil = TimePoint::max();
   for (std::uint64_t id = 1; id <= 3; ++id) {
     fixture.m_commands.Release({ id, "e", { { 0, 9 }, id } });
     REQUIRE(support::RunUntil(
@@ -245,3 +282,60 @@
         std::vector<CommandOutcome>(kGrants, CommandOutcome::Done));
   CHECK(fixture.m_newConnections == 0);
 }
+
+// Guards against keys with two owners (review/11): the address of a lost
+// endpoint went to an endpoint of another service, which took its grants.
+TEST_CASE("an endpoint with another name at the address gets no commands",
+          "[gateway]")
+{
+  Fixture fixture;
+  fixture.m_name = "other";
+  for (std::uint64_t id = 1; id <= 8; ++id) {
+    fixture.m_commands.Grant({ id, "e", { { 0, 9 }, id, {}, "" } });
+    fixture.m_commands.Release({ id, "e", { { 10, 19 }, id } });
+    support::RunFor(fixture.m_loop, Millis(200));
+  }
+  CHECK(fixture.m_commandsReceived == 0);
+  CHECK(fixture.m_otherEndpoints > 1);
+  REQUIRE_FALSE(fixture.m_grantOutcomes.empty());
+  CHECK(fixture.m_grantOutcomes.front() == CommandOutcome::NotSent);
+  REQUIRE(fixture.m_releaseOutcomes.size() == 8);
+  CHECK(fixture.m_releaseOutcomes.front() == CommandOutcome::NotSent);
+  // Its keys go to other endpoints.
+  CHECK(fixture.m_commands.IsUnresponsive(BootClock::now()));
+}
+
+TEST_CASE("commands are sent once the endpoint has stated its name",
+          "[gateway]")
+{
+  Fixture fixture;
+  REQUIRE(fixture.GrantUntil(CommandOutcome::Done));
+  CHECK(fixture.m_grantOutcomes.size() == 1);
+  CHECK(fixture.m_healthChecks == 1);
+  fixture.m_commands.Release({ 9, "e", { { 0, 9 }, 1 } });
+  CHECK(support::RunUntil(
+    fixture.m_loop,
+    [&] { return !fixture.m_releaseOutcomes.empty(); },
+    Millis(500)));
+  CHECK(fixture.m_healthChecks == 1);
+  CHECK(fixture.m_otherEndpoints == 0);
+}
+
+// A leader that has lost its authority while grants waited must not send them:
+// its successor counts on their end.
+TEST_CASE("a grant that waits for the endpoint's name is dropped when the "
+          "authority ends",
+          "[gateway]")
+{
+  Fixture fixture;
+  fixture.m_answersHealthChecks = false;
+  fixture.m_commands.Grant({ 1, "e", { { 0, 9 }, 1, {}, "" } });
+  support::RunFor(fixture.m_loop, Millis(100));
+  REQUIRE(fixture.m_grantOutcomes.empty());
+  fixture.m_mayCommand = false;
+  fixture.m_identifiedUntil = TimePoint::max();
+  support::RunFor(fixture.m_loop, Millis(200));
+  CHECK(fixture.m_grantOutcomes ==
+        std::vector<CommandOutcome>{ CommandOutcome::NotSent });
+  CHECK(fixture.m_commandsReceived == 0);
+}
--- a/test/sapphirehook/gateway/ownership_fixture.hpp
+++ b/test/sapphirehook/gateway/ownership_fixture.hpp
@@ -14,13 +14,14 @@
 /** Daemons' key ownership with a stand-in of the store and endpoints. */
 namespace sapphirehook::ownership_fixture {
 
+inline constexpr const char* kHealthPath = "/health";
+
 /** An endpoint that answers every command at once. Its leases last as long as
     the grants say. */
 struct Endpoint
 {
   Endpoint(EventLoop& aLoop, const std::string& aName)
     : m_server(aLoop, [this](const HttpExchangePtr& aExchange) {
-      ++m_commands;
       aExchange->Answer(Execute(*aExchange));
     })
   {
@@ -50,6 +51,11 @@
     constexpr int kOk = 200;
     constexpr int kConflict = 409;
     const TimePoint now = BootClock::now();
+    if (const auto identity = platform::IdentityReply(
+          aExchange.m_head, kHealthPath, m_record.m_incarnation.m_name)) {
+      return *identity;
+    }
+    ++m_commands;
     if (platform::IsRelease(aExchange.m_head)) {
       m_leases.Release(platform::ReadRelease(aExchange.m_body)->m_range);
       return platform::HandoverReply(m_handover);
@@ -75,18 +81,21 @@
                { "h", aIncarnation },
                [](const HostId&, const GossipMessage&) {})
     , m_directory(Millis(1600))
+    , m_liveness(m_directory, LivenessTimes{})
     , m_ownership(aLoop,
                   aProtocol,
                   m_log,
                   Settings(aStore),
                   m_gossip,
                   m_engine,
-                  m_directory)
+                  m_directory,
+                  m_liveness)
   {
     REQUIRE(m_gossip.Bind(support::FreeAddress()));
     RoutingConfig config;
     config.m_version = 1;
     config.m_services["keyed"].m_keyed = true;
+    config.m_services["keyed"].m_healthPath = kHealthPath;
     m_engine.SetRoutes(std::make_shared<const RouteTable>(config));
     m_ownership.SetStoreWorks(true);
   }
@@ -119,6 +128,7 @@
   RequestEngine m_engine;
   Gossip m_gossip;
   EndpointDirectory m_directory;
+  EndpointLiveness m_liveness;
   Ownership m_ownership;
 };
 
--- a/test/sapphirehook/keys/range_manager.cpp
+++ b/test/sapphirehook/keys/range_manager.cpp
@@ -46,6 +46,11 @@
   static constexpr bool kTrackOwnerRestart = false;
 };
 
+struct UnidentifiedConnections : simulation::Rules
+{
+  static constexpr bool kIdentifyConnections = false;
+};
+
 struct RefusalAsEnd : simulation::Rules
 {
   static constexpr bool kRefusalKeepsLease = false;
@@ -152,13 +157,13 @@
 TEST_CASE("no key has two holders although the store forgets what it accepted",
           "[keys][search]")
 {
-  CHECK(FirstViolation<simulation::Rules>(150, true) == "");
+  CHECK(FirstViolation<simulation::Rules>(150, { .m_restores = true }) == "");
   unsigned moves = 0;
   unsigned reclaims = 0;
   unsigned lostClaims = 0;
   unsigned heldCellSteps = 0;
   for (unsigned seed = 1; seed <= 20; ++seed) {
-    Simulation<simulation::Rules> simulation(seed, true);
+    Simulation<simulation::Rules> simulation(seed, { .m_restores = true });
     CHECK(simulation.Run(Millis(120'000)).empty());
     moves += simulation.Moves();
     reclaims += simulation.Reclaims();
@@ -178,12 +183,28 @@
 {
   // A term is used twice only if nobody alive knows its first use.
   constexpr unsigned kSeedOfTermUsedTwice = 11446;
-  CHECK(
-    Simulation<NoEraInTerms>(kSeedOfTermUsedTwice, true).Run(Millis(120'000)) !=
-    "");
-  CHECK(FirstViolation<NotStoredAgain>(60, true) != "");
-  CHECK(FirstViolation<StoredAssignmentsTrusted>(60, true) != "");
-  CHECK(FirstViolation<NoWaitForUnknownHolder>(60, true) != "");
+  CHECK(Simulation<NoEraInTerms>(kSeedOfTermUsedTwice, { .m_restores = true })
+          .Run(Millis(120'000)) != "");
+  CHECK(FirstViolation<NotStoredAgain>(60, { .m_restores = true }) != "");
+  CHECK(FirstViolation<StoredAssignmentsTrusted>(60, { .m_restores = true }) !=
+        "");
+  CHECK(FirstViolation<NoWaitForUnknownHolder>(60, { .m_restores = true }) !=
+        "");
+}
+
+// Guards against commands to an endpoint that has got the address of a lost one
+// (review/11).
+TEST_CASE("no command is sent to another endpoint at a lost one's address",
+          "[keys][search]")
+{
+  constexpr simulation::Faults kFaults{ .m_addressReuse = true };
+  CHECK(FirstViolation<simulation::Rules>(60, kFaults) == "");
+  CHECK(FirstViolation<simulation::Rules>(30, { true, true }) == "");
+  CHECK(FirstViolation<UnidentifiedConnections>(60, kFaults) != "");
+  Simulation<simulation::Rules> simulation(7, kFaults);
+  CHECK(simulation.Run(Millis(120'000)).empty());
+  CHECK(simulation.Moves() > 20);
+  CHECK(simulation.HeldCellSteps() > 10'000);
 }
 
 TEST_CASE("the stored assignments name each range's holder after any moves",
--- a/test/sapphirehook/keys/range_simulation.hpp
+++ b/test/sapphirehook/keys/range_simulation.hpp
@@ -2,6 +2,7 @@
 #define TEST_SAPPHIREHOOK_KEYS_RANGE_SIMULATION_HPP
 
 #include "sapphirehook/core/text.hpp"
+#include "sapphirehook/discovery/endpoint_liveness.hpp"
 #include "sapphirehook/keys/leadership.hpp"
 #include "sapphirehook/keys/range_manager_impl.hpp"
 #include "support/generate.hpp"
@@ -33,6 +34,11 @@
 /** Time from a leader's learning of a restore until it claims again. */
 constexpr Millis kPeerReports{ 400 };
 
+/** Time from the end of an endpoint until its address may belong to another
+    one, and longest further time until the endpoint starts again elsewhere. */
+constexpr Millis kAddressReuse{ 2000 };
+constexpr Millis kMaxAbsence{ 6000 };
+
 /** Rules of the leadership, next to those of the range manager. Tests switch
    off one at a time. */
 struct Rules : RangeManagerRules
@@ -50,6 +56,9 @@
   /** A daemon that claims first after a restore does not trust the stored
       assignments, and waits for the leaders whose claims may be lost. */
   static constexpr bool kWaitForLostClaims = true;
+  /** Commands are sent only on connections that certainly lead to the endpoint,
+      since its address may belong to another one. */
+  static constexpr bool kIdentifyConnections = true;
 };
 
 /** An endpoint that follows the protocol for grants and releases: it rejects a
@@ -69,6 +78,11 @@
   TimePoint m_refusesUntil{};
   /** Nothing arrives until this time. */
   TimePoint m_cutUntil{};
+  /** A new one after each absence. */
+  in_port_t m_port = 1;
+  /** When the endpoint ended. Empty while it runs. */
+  std::optional<TimePoint> m_endedAt;
+  TimePoint m_startsAgainAt{};
   std::array<Cell, kCells> m_cells;
 };
 
@@ -81,6 +95,8 @@
   std::string m_endpoint;
   std::int64_t m_incarnation = 0;
   GrantCommand m_grant;
+  in_port_t m_port = 0;
+  TimePoint m_sentAt{};
   TimePoint m_arrivesAt{};
   TimePoint m_appliesAt{};
   /** When the sender resets the connection without an answer. */
@@ -99,28 +115,40 @@
   TimePoint m_arrivesAt{};
 };
 
+/** Faults that a simulation injects beside those of endpoints, connections and
+    processes. */
+struct Faults
+{
+  /** The store is restored from older copies. */
+  bool m_restores = false;
+  /** Endpoints end, and their addresses go to endpoints of another service. */
+  bool m_addressReuse = false;
+};
+
 /** Simulates leaders on three hosts whose processes are killed, restarted under
     numbers in any order, and paused; four endpoints that crash, restart, refuse
-    connections and are cut off; commands that are lost, delayed or held up by a
-    cut; late heartbeats; ranges that move at random; and a store that is
-    restored from older copies, of which each daemon learns at its own time. A
-    replaced leader continues until its authority ends. The key space is divided
-   into cells of equal size. Reports a violation when a cell has two holders, or
-   when its fence does not increase from one holder to the next. */
+    connections, are cut off, and end, whereupon an endpoint of another service
+    gets their address; commands that are lost, delayed or held up by a cut;
+   late heartbeats; ranges that move at random; and a store that is restored
+   from older copies, of which each daemon learns at its own time. A replaced
+   leader continues until its authority ends. The key space is divided into
+   cells of equal size. Reports a violation when a cell has two holders, when
+   its fence does not increase from one holder to the next, or when a command is
+   sent to an endpoint of another service. */
 template<typename Rules>
 class Simulation
 {
 public:
-  explicit Simulation(unsigned aSeed, bool aRestores = false)
+  explicit Simulation(unsigned aSeed, Faults aFaults = {})
     : m_random(aSeed)
-    , m_restores(aRestores)
+    , m_faults(aFaults)
   {
     for (int i = 0; i < 4; ++i) {
       FakeEndpoint endpoint;
       endpoint.m_incarnation = { "e" + std::to_string(i), 1 };
       endpoint.m_slowness = 1.0 + 0.02 * static_cast<double>(Draw(2));
       m_endpoints.push_back(endpoint);
-      m_listed.push_back(endpoint.m_incarnation);
+      m_listed.push_back({ endpoint.m_incarnation, endpoint.m_port });
     }
     for (std::size_t i = 0; i < m_hosts.size(); ++i) {
       StartProcess(i);
@@ -147,6 +175,26 @@
 private:
   using Manager = BasicRangeManager<Rules>;
 
+  /** An endpoint's entry in the list. */
+  struct Entry
+  {
+    EndpointIncarnation m_incarnation;
+    in_port_t m_port = 0;
+  };
+
+  /** Stands for the incarnation of an endpoint of another service. */
+  static constexpr std::int64_t kOtherService = -1;
+
+  /** A leader's connection to the address of an endpoint. */
+  struct Connection
+  {
+    /** Incarnation that accepted it; 0 if there is no connection yet. */
+    std::int64_t m_incarnation = 0;
+    in_port_t m_port = 0;
+    TimePoint m_establishedAt{};
+    bool m_identified = false;
+  };
+
   /** What a leader keeps. */
   struct Leader
   {
@@ -159,8 +207,8 @@
     std::optional<TimePoint> m_reclaimAt;
     TimePoint m_claimLostAt{};
     std::unique_ptr<Manager> m_manager;
-    /** Incarnations to which there are connections, by endpoint. */
-    std::map<std::string, std::int64_t> m_connections;
+    std::map<std::string, Connection> m_connections;
+    std::unique_ptr<EndpointLiveness> m_liveness;
   };
 
   struct Process
@@ -352,6 +400,8 @@
       }
     }
     leader.m_manager->CoverAll(16);
+    leader.m_liveness = std::make_unique<EndpointLiveness>(
+      m_directory, LivenessTimes{ .m_addressReuse = kAddressReuse });
     process.m_leads = std::move(leader);
     m_storing = false;
   }
@@ -447,35 +497,87 @@
     }
   }
 
+  [[nodiscard]] static std::size_t IndexOf(const std::string& aName)
+  {
+    return static_cast<std::size_t>(aName.back() - '0');
+  }
+
   FakeEndpoint& Endpoint(const std::string& aName)
   {
-    return m_endpoints.at(static_cast<std::size_t>(aName.back() - '0'));
+    return m_endpoints.at(IndexOf(aName));
   }
 
   std::vector<RangeManagerEndpoint> View()
   {
     std::vector<RangeManagerEndpoint> view;
-    for (const auto& incarnation : m_listed) {
-      view.push_back({ incarnation, true, Draw(30) == 0, 1.0 });
+    for (const auto& entry : m_listed) {
+      view.push_back({ entry.m_incarnation, true, Draw(30) == 0, 1.0 });
     }
     return view;
   }
 
+  static sockaddr_in AddressOf(in_port_t aPort)
+  {
+    sockaddr_in address{};
+    address.sin_port = aPort;
+    return address;
+  }
+
+  /** Returns the incarnation that accepts connections at an address that an
+      endpoint has or had; nothing if none does. */
+  [[nodiscard]] std::optional<std::int64_t> IncarnationAt(
+    const FakeEndpoint& aEndpoint,
+    in_port_t aPort) const
+  {
+    if (aEndpoint.m_port != aPort) {
+      return kOtherService;
+    }
+    if (!aEndpoint.m_endedAt) {
+      return aEndpoint.m_incarnation.m_startedAt;
+    }
+    return m_now >= *aEndpoint.m_endedAt + kAddressReuse
+             ? std::optional(kOtherService)
+             : std::nullopt;
+  }
+
+  /** Returns whether a leader may send a command on a connection. If not, a
+      health check of the endpoint may be answered before the next command. */
+  bool Identify(Leader& aLeader,
+                const std::string& aEndpoint,
+                Connection& aConnection)
+  {
+    const auto& entry = m_listed.at(IndexOf(aEndpoint));
+    const auto address = AddressOf(aConnection.m_port);
+    aConnection.m_identified =
+      aConnection.m_identified || !Rules::kIdentifyConnections ||
+      !m_faults.m_addressReuse ||
+      aLeader.m_liveness->LeadsTo(
+        entry.m_incarnation, address, aConnection.m_establishedAt);
+    if (!aConnection.m_identified &&
+        aConnection.m_incarnation != kOtherService && Draw(3) == 0) {
+      aLeader.m_liveness->OnAlive(aEndpoint, address, m_now);
+    }
+    return aConnection.m_identified;
+  }
+
   /** Sends a command over the leader's connection to the endpoint. If the
       endpoint restarted since the last command, reports a new connection to the
       manager and answers that the command was not sent. */
   void Send(Leader& aLeader, SentCommand aCommand)
   {
     auto& endpoint = Endpoint(aCommand.m_endpoint);
-    auto& incarnation = aLeader.m_connections[aCommand.m_endpoint];
-    const auto actual = endpoint.m_incarnation.m_startedAt;
-    if (incarnation != actual && m_now < endpoint.m_refusesUntil) {
+    auto& connection = aLeader.m_connections[aCommand.m_endpoint];
+    const auto port = m_listed.at(IndexOf(aCommand.m_endpoint)).m_port;
+    const auto actual = IncarnationAt(endpoint, port);
+    const bool isOpen =
+      connection.m_incarnation == actual && connection.m_port == port;
+    if (!isOpen && (!actual || m_now < endpoint.m_refusesUntil)) {
       Answer(*aLeader.m_manager, aCommand, { CommandOutcome::Refused, "" });
       return;
     }
-    if (incarnation != actual || m_reconnected.contains(aCommand.m_endpoint)) {
-      const bool known = incarnation != 0;
-      incarnation = actual;
+    if (!isOpen || m_reconnected.contains(aCommand.m_endpoint)) {
+      const bool known = connection.m_incarnation != 0;
+      connection = { *actual, port, m_now, false };
       if (known) {
         m_reconnected.insert(aCommand.m_endpoint);
         aLeader.m_manager->OnNewConnection(m_now, aCommand.m_endpoint);
@@ -483,8 +585,19 @@
         return;
       }
     }
+    if (!Identify(aLeader, aCommand.m_endpoint, connection)) {
+      Answer(*aLeader.m_manager, aCommand, { CommandOutcome::NotSent, "" });
+      return;
+    }
+    if (*actual == kOtherService) {
+      m_violation = "a command for " + aCommand.m_endpoint +
+                    " is sent to an endpoint of another service";
+      return;
+    }
     aCommand.m_leadership = aLeader.m_id;
-    aCommand.m_incarnation = actual;
+    aCommand.m_incarnation = *actual;
+    aCommand.m_port = port;
+    aCommand.m_sentAt = m_now;
     aCommand.m_arrivesAt = m_now + Millis(1) + DrawMillis(20);
     aCommand.m_timesOutAt = m_now + kCallTimeout;
     if (m_now < endpoint.m_cutUntil) {
@@ -511,14 +624,20 @@
     }
   }
 
-  Manager* LeaderOf(const SentCommand& aCommand)
+  Manager* ManagerOf(const SentCommand& aCommand)
+  {
+    auto* leader = LeaderOf(aCommand);
+    return leader != nullptr ? leader->m_manager.get() : nullptr;
+  }
+
+  Leader* LeaderOf(const SentCommand& aCommand)
   {
     if (aCommand.m_abandoned) {
       return nullptr;
     }
     for (auto& process : m_hosts) {
       if (process.m_leads && process.m_leads->m_id == aCommand.m_leadership) {
-        return process.m_leads->m_manager.get();
+        return &*process.m_leads;
       }
     }
     return nullptr;
@@ -580,7 +699,7 @@
     if (isOwn || ignoresEra) {
       aProcess.m_leadership->OnTermConfirmed(
         m_now - Millis(50), ignoresEra ? leader.m_termEra : m_era);
-    } else if (m_restores && record.m_leader != aProcess.m_id) {
+    } else if (m_faults.m_restores && record.m_leader != aProcess.m_id) {
       aProcess.m_leadership->OnRecord(m_now, record);
     }
   }
@@ -635,7 +754,7 @@
         due.push_back(aCommand);
       }
       if (isLost) {
-        if (auto* manager = LeaderOf(aCommand)) {
+        if (auto* manager = ManagerOf(aCommand)) {
           Answer(*manager, aCommand, { CommandOutcome::NoAnswer, "" });
         }
       }
@@ -643,13 +762,17 @@
     });
     for (const auto& command : due) {
       auto answer = Apply(command);
-      auto* manager = LeaderOf(command);
-      if (command.m_answered && manager != nullptr) {
-        Answer(*manager, command, answer);
+      auto* leader = LeaderOf(command);
+      if (command.m_answered && leader != nullptr) {
+        if (answer.m_end != CommandOutcome::NoAnswer) {
+          leader->m_liveness->OnAlive(
+            command.m_endpoint, AddressOf(command.m_port), command.m_sentAt);
+        }
+        Answer(*leader->m_manager, command, answer);
       }
     }
     for (auto& command : m_commands) {
-      auto* manager = LeaderOf(command);
+      auto* manager = ManagerOf(command);
       if (!command.m_answered && manager != nullptr &&
           m_now >= command.m_timesOutAt) {
         Answer(*manager, command, { CommandOutcome::NoAnswer, "" });
@@ -657,7 +780,7 @@
       }
     }
     for (const auto& command : due) {
-      auto* manager = LeaderOf(command);
+      auto* manager = ManagerOf(command);
       if (!command.m_answered && manager != nullptr) {
         Answer(*manager, command, { CommandOutcome::NoAnswer, "" });
       }
@@ -667,7 +790,8 @@
   CommandResult Apply(const SentCommand& aCommand)
   {
     auto& endpoint = Endpoint(aCommand.m_endpoint);
-    if (endpoint.m_incarnation.m_startedAt != aCommand.m_incarnation) {
+    if (endpoint.m_endedAt ||
+        endpoint.m_incarnation.m_startedAt != aCommand.m_incarnation) {
       return { CommandOutcome::NoAnswer, "" };
     }
     const auto& range = aCommand.m_grant.m_range;
@@ -833,9 +957,23 @@
     }
     if (Draw(300) == 0) {
       auto& endpoint = m_endpoints.at(Draw(4));
-      ++endpoint.m_incarnation.m_startedAt;
+      endpoint.m_incarnation.m_startedAt += endpoint.m_endedAt ? 0 : 1;
+      endpoint.m_cells = {};
+    }
+    if (m_faults.m_addressReuse && Draw(400) == 0) {
+      auto& endpoint = m_endpoints.at(Draw(4));
+      endpoint.m_endedAt = endpoint.m_endedAt.value_or(m_now);
+      endpoint.m_startsAgainAt =
+        m_now + kAddressReuse + DrawMillis(kMaxAbsence.count());
       endpoint.m_cells = {};
     }
+    for (auto& endpoint : m_endpoints) {
+      if (endpoint.m_endedAt && m_now >= endpoint.m_startsAgainAt) {
+        endpoint.m_endedAt.reset();
+        ++endpoint.m_incarnation.m_startedAt;
+        ++endpoint.m_port;
+      }
+    }
     if (Draw(400) == 0) {
       m_endpoints.at(Draw(4)).m_refusesUntil = m_now + DrawMillis(6000);
     }
@@ -845,7 +983,8 @@
     // The list of endpoints is updated with a delay.
     if (Draw(60) == 0) {
       const auto which = Draw(4);
-      m_listed.at(which) = m_endpoints.at(which).m_incarnation;
+      const auto& endpoint = m_endpoints.at(which);
+      m_listed.at(which) = { endpoint.m_incarnation, endpoint.m_port };
     }
   }
 
@@ -883,14 +1022,14 @@
         reader.m_leadership->OnRecord(m_now, m_store.m_record);
       }
     }
-    if (m_restores && Draw(500) == 0) {
+    if (m_faults.m_restores && Draw(500) == 0) {
       Restore();
     }
-    if (m_restores && Draw(500) == 0) {
+    if (m_faults.m_restores && Draw(500) == 0) {
       m_hosts.at(Draw(m_hosts.size())).m_peersCutUntil =
         m_now + DrawMillis(kMaxPeersCut.count());
     }
-    if (m_restores && Draw(500) == 0) {
+    if (m_faults.m_restores && Draw(500) == 0) {
       m_hosts.at(Draw(m_hosts.size())).m_storeCutUntil =
         m_now + DrawMillis(kMaxNotice.count());
     }
@@ -918,15 +1057,16 @@
 
   std::mt19937 m_random;
   TimePoint m_now = TimePoint(Millis(1));
-  /** Whether the store is restored from older copies. */
-  bool m_restores = false;
+  Faults m_faults;
   StoreEra m_era = 0;
   Contents m_store;
   std::deque<Contents> m_copies;
   unsigned m_leaderships = 0;
   std::array<Process, 3> m_hosts;
   std::vector<FakeEndpoint> m_endpoints;
-  std::vector<EndpointIncarnation> m_listed;
+  std::vector<Entry> m_listed;
+  /** Lists no endpoint, so that only answers prove that one ran. */
+  EndpointDirectory m_directory{ Millis(0) };
   std::deque<SentCommand> m_commands;
   std::deque<SentHeartbeat> m_heartbeats;
   TimePoint m_heartbeatsAt{};
@@ -948,11 +1088,11 @@
 /** Returns the first violation found with the seeds from 1 to aSeeds. */
 template<typename Rules>
 std::string
-FirstViolation(unsigned aSeeds, bool aRestores = false)
+FirstViolation(unsigned aSeeds, Faults aFaults = {})
 {
   for (unsigned seed = 1; seed <= aSeeds; ++seed) {
     const auto violation =
-      Simulation<Rules>(seed, aRestores).Run(Millis(120'000));
+      Simulation<Rules>(seed, aFaults).Run(Millis(120'000));
     if (!violation.empty()) {
       return violation + ", seed " + std::to_string(seed);
     }
