--- a/src/sapphirehook/keys/range.hpp
+++ b/src/sapphirehook/keys/range.hpp
@@ -81,10 +81,11 @@
 enum class CommandOutcome : unsigned char
 {
   Done,
-  /** The endpoint has seen a higher fence on one of the keys. */
+  /** The endpoint says that it has seen a higher fence on one of the keys. */
   Fenced,
-  /** The endpoint could not interpret the command. */
-  Rejected,
+  /** The endpoint's answer does not show whether it has executed the command.
+   */
+  Unclear,
   /** The endpoint's address refused the connection. */
   Refused,
   /** The command did not leave this daemon. */
--- a/src/sapphirehook/keys/range_manager.hpp
+++ b/src/sapphirehook/keys/range_manager.hpp
@@ -50,6 +50,9 @@
   /** An endpoint that refuses connections may be cut off and still hold its
       ranges. */
   static constexpr bool kRefusalKeepsLease = true;
+  /** A faulty endpoint may spoil the status of its answer to a grant that it
+      has executed. Whatever it has answered, it may hold the range. */
+  static constexpr bool kAnyAnswerKeepsLease = true;
   /** Before a release, the leader sends a grant with a fence above that of
       every grant that the endpoint may still execute. */
   static constexpr bool kFenceBeforeRelease = true;
--- a/src/sapphirehook/keys/range_manager_impl.hpp
+++ b/src/sapphirehook/keys/range_manager_impl.hpp
@@ -226,11 +226,18 @@
     aNow + WithDrift(m_times.m_leaseDuration, m_times.m_driftPpm);
   ForCommandRanges(aId, [&](Range& aRange) {
     aRange.m_grantId = 0;
+    // Only a command that was not sent certainly has no effect.
+    const bool isSent = aAnswer.m_end != CommandOutcome::Refused &&
+                        aAnswer.m_end != CommandOutcome::NotSent;
+    const bool isUncertain = aAnswer.m_end == CommandOutcome::Fenced ||
+                             aAnswer.m_end == CommandOutcome::Unclear;
+    if (isSent && (Rules::kAnyAnswerKeepsLease || !isUncertain)) {
+      aRange.m_latestExpiry = std::max(aRange.m_latestExpiry, ends);
+    }
     switch (aAnswer.m_end) {
       case CommandOutcome::Done:
         aRange.m_answeredFence =
           std::max(aRange.m_answeredFence, aRange.m_fence);
-        aRange.m_latestExpiry = std::max(aRange.m_latestExpiry, ends);
         aRange.m_earlierExpiry = {};
         aRange.m_expectedExpiry = aNow + m_times.m_leaseDuration;
         aRange.m_dueAt = aNow + m_times.m_renewEvery;
@@ -242,7 +249,6 @@
         }
         break;
       case CommandOutcome::NoAnswer:
-        aRange.m_latestExpiry = std::max(aRange.m_latestExpiry, ends);
         aRange.m_unansweredFence =
           std::max(aRange.m_unansweredFence, aRange.m_fence);
         aRange.m_unansweredExpiry = std::max(aRange.m_unansweredExpiry, ends);
@@ -258,7 +264,7 @@
           aRange.m_earlierExpiry = aNow;
         }
         [[fallthrough]];
-      case CommandOutcome::Rejected:
+      case CommandOutcome::Unclear:
       case CommandOutcome::NotSent:
         aRange.m_dueAt = aNow + m_times.m_retryAfter;
         break;
--- a/test/sapphirehook/keys/range_manager.cpp
+++ b/test/sapphirehook/keys/range_manager.cpp
@@ -46,6 +46,11 @@
   static constexpr bool kTrackOwnerRestart = false;
 };
 
+struct UncertainAnswerAsRefusal : simulation::Rules
+{
+  static constexpr bool kAnyAnswerKeepsLease = false;
+};
+
 struct UnidentifiedConnections : simulation::Rules
 {
   static constexpr bool kIdentifyConnections = false;
@@ -207,6 +212,20 @@
   CHECK(simulation.HeldCellSteps() > 10'000);
 }
 
+// Guards against two holders (review/12): endpoints had executed grants whose
+// answers had another status.
+TEST_CASE("no key has two holders although answers have a spoiled status",
+          "[keys][search]")
+{
+  constexpr simulation::Faults kFaults{ .m_spoiledAnswers = true };
+  CHECK(FirstViolation<simulation::Rules>(60, kFaults) == "");
+  CHECK(FirstViolation<simulation::Rules>(30, { true, true, true }) == "");
+  CHECK(FirstViolation<UncertainAnswerAsRefusal>(60, kFaults) != "");
+  Simulation<simulation::Rules> simulation(7, kFaults);
+  CHECK(simulation.Run(Millis(120'000)).empty());
+  CHECK(simulation.Moves() > 20);
+}
+
 TEST_CASE("the stored assignments name each range's holder after any moves",
           "[keys]")
 {
@@ -299,6 +318,68 @@
   CHECK(holderOf(key) == "e1");
 }
 
+// Guards against two holders (review/12): an endpoint had taken its keys, but the
+// status of its answers was spoiled. They moved without a release or a wait.
+TEST_CASE("a range moves by release or after its lease whatever the status of "
+          "the answer to its grant is",
+          "[keys]")
+{
+  const auto outcome =
+    GENERATE(CommandOutcome::Fenced, CommandOutcome::Unclear);
+  const bool answersReleases = GENERATE(true, false);
+  RangeManagerTimes times;
+  RangeManager manager(times, 1, TimePoint{});
+  auto endpoints = Endpoints(2);
+  endpoints[1].m_usable = false;
+  manager.SetEndpoints(endpoints);
+  manager.CoverAll(16);
+  TimePoint sentAt{};
+  unsigned releases = 0;
+  const auto run = [&](TimePoint aNow) {
+    std::set<std::string> granted;
+    for (int round = 0; round < 6; ++round) {
+      const auto actions = manager.Tick(aNow);
+      for (const auto& grant : actions.m_grants) {
+        const bool isFirst = grant.m_endpoint == "e0";
+        granted.insert(grant.m_endpoint);
+        sentAt = isFirst ? aNow : sentAt;
+        manager.OnGrantEnd(
+          aNow, grant.m_id, { isFirst ? outcome : CommandOutcome::Done, "" });
+      }
+      for (const auto& release : actions.m_releases) {
+        ++releases;
+        manager.OnReleaseEnd(
+          aNow,
+          release.m_id,
+          { answersReleases ? CommandOutcome::Done : outcome, "" });
+      }
+      if (manager.HasToStore()) {
+        static_cast<void>(manager.BeginStore());
+        manager.OnStored(aNow);
+      }
+    }
+    return granted;
+  };
+  const TimePoint begin = At(Millis(1));
+  for (int i = 0; i < 3; ++i) {
+    CHECK(run(begin + i * Millis(200)) == std::set<std::string>{ "e0" });
+  }
+  endpoints[0].m_usable = false;
+  endpoints[1].m_usable = true;
+  manager.SetEndpoints(endpoints);
+  const TimePoint leavesAt = begin + Millis(700);
+  if (answersReleases) {
+    CHECK(run(leavesAt) == std::set<std::string>{ "e1" });
+    CHECK(releases > 0);
+    return;
+  }
+  CHECK(run(leavesAt).empty());
+  const auto expires =
+    sentAt + WithDrift(times.m_leaseDuration, times.m_driftPpm);
+  CHECK(run(expires - Millis(1)).empty());
+  CHECK(run(expires + Millis(1)) == std::set<std::string>{ "e1" });
+}
+
 TEST_CASE("a new incarnation of an endpoint gets its keys with a higher fence",
           "[keys]")
 {
--- a/test/sapphirehook/keys/range_simulation.hpp
+++ b/test/sapphirehook/keys/range_simulation.hpp
@@ -123,12 +123,15 @@
   bool m_restores = false;
   /** Endpoints end, and their addresses go to endpoints of another service. */
   bool m_addressReuse = false;
+  /** The status of an answer to a command that was executed is spoiled. */
+  bool m_spoiledAnswers = false;
 };
 
 /** Simulates leaders on three hosts whose processes are killed, restarted under
     numbers in any order, and paused; four endpoints that crash, restart, refuse
     connections, are cut off, and end, whereupon an endpoint of another service
     gets their address; commands that are lost, delayed or held up by a cut;
+    answers whose status is spoiled;
    late heartbeats; ranges that move at random; and a store that is restored
    from older copies, of which each daemon learns at its own time. A replaced
    leader continues until its authority ends. The key space is divided into
@@ -762,6 +765,13 @@
     });
     for (const auto& command : due) {
       auto answer = Apply(command);
+      if (m_faults.m_spoiledAnswers && answer.m_end == CommandOutcome::Done &&
+          Draw(10) == 0) {
+        const bool looksFenced = command.m_isGrant && Draw(2) == 0;
+        answer = { looksFenced ? CommandOutcome::Fenced
+                               : CommandOutcome::Unclear,
+                   "" };
+      }
       auto* leader = LeaderOf(command);
       if (command.m_answered && leader != nullptr) {
         if (answer.m_end != CommandOutcome::NoAnswer) {
