--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "sapphirehook/gateway/internal/answers.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirehook {
@@ -303,6 +304,9 @@
     m_stream.Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
   auto transaction = m_events.OnRequest(*exchange, std::move(head), arrival);
+  if (transaction) {
+    m_answersDueBy = std::max(m_answersDueBy, transaction->m_deadline);
+  }
   if (!exchange->m_answered) {
     exchange->m_transaction = std::move(transaction);
   }
@@ -402,7 +406,7 @@
     m_readsNothing = true;
     m_timer.Stop();
     m_backlog.clear();
-    m_stream.CloseAfterWrite();
+    m_stream.CloseAfterWrite(m_answersDueBy);
     DisconnectAll();
     return;
   }
--- a/src/sapphirehook/gateway/caller_connection.hpp
+++ b/src/sapphirehook/gateway/caller_connection.hpp
@@ -157,6 +157,9 @@
   bool m_bodyPaused = false;
   std::uint64_t m_bodyBytes = 0;
   TimePoint m_headReceivedAt{};
+  /** Latest deadline of the requests on this connection. Until then the caller
+      may pause while it receives an answer. */
+  TimePoint m_answersDueBy{};
   /** A head is parsed, and its request waits until it may be passed on. */
   bool m_headWaits = false;
   bool m_headMayRunEarly = false;
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-/** A closing connection ends when its peer receives nothing for this long. */
+/** A closing connection without progress for this long ends, unless its peer
+    may still pause. */
 constexpr Millis kLingerTimeout{ 1000 };
 
 /** Size of the read buffer, which all streams of a thread share. */
@@ -167,12 +168,13 @@
 }
 
 void
-TcpStream::CloseAfterWrite()
+TcpStream::CloseAfterWrite(TimePoint aDeliverBy)
 {
   if (m_socket < 0 || m_closing) {
     return;
   }
   m_closing = true;
+  m_deliverBy = aDeliverBy;
   m_lingering = Unacknowledged();
   m_timer.Start(kLingerTimeout);
   if (Unsent() == 0) {
@@ -197,9 +199,13 @@
     End(StreamEnd::ConnectTimeout);
     return;
   }
-  // A peer on a slow link may need longer for an answer.
+  // A peer on a slow link may need longer for an answer. One that still sends
+  // would meet a reset, which discards what it has not read yet.
   const auto left = Unacknowledged();
-  if (left < std::exchange(m_lingering, left)) {
+  const bool mayPause = BootClock::now() < m_deliverBy;
+  const bool isDelivering = left < std::exchange(m_lingering, left);
+  const bool isReceiving = std::exchange(m_hasReceived, false) && mayPause;
+  if (isDelivering || isReceiving || (left > 0 && mayPause)) {
     m_timer.Start(kLingerTimeout);
   } else {
     End(StreamEnd::Closed);
@@ -303,6 +309,7 @@
   auto& buffer = ReadBuffer();
   const auto count = recv(m_socket, buffer.data(), buffer.size(), 0);
   if (count > 0) {
+    m_hasReceived = true;
     if (!m_closing && m_events.m_onData) {
       m_events.m_onData({ buffer.data(), static_cast<std::size_t>(count) });
     }
--- a/src/sapphirehook/net/tcp_stream.hpp
+++ b/src/sapphirehook/net/tcp_stream.hpp
@@ -75,9 +75,10 @@
   void Reset();
 
   /** Sends the written bytes, shuts down the sending side and discards received
-      bytes until the peer closes. Ends when the peer has received nothing more
-      for the linger timeout. */
-  void CloseAfterWrite();
+      bytes until the peer closes. A peer that has not acknowledged everything
+      may pause until aDeliverBy; after that, and once it has, the connection
+      ends when nothing arrives at either side for the linger timeout. */
+  void CloseAfterWrite(TimePoint aDeliverBy = {});
 
   [[nodiscard]] bool IsOpen() const noexcept { return m_socket >= 0; }
   [[nodiscard]] bool IsConnected() const noexcept { return m_connected; }
@@ -111,8 +112,12 @@
   bool m_connected = false;
   bool m_reading = true;
   bool m_closing = false;
-  /** Unacknowledged bytes when the linger timeout began. */
+  /** While closing: until when the peer may pause. */
+  TimePoint m_deliverBy{};
+  /** Unacknowledged bytes when the linger timeout began, and whether bytes have
+      been received since. */
   std::size_t m_lingering = 0;
+  bool m_hasReceived = false;
   bool m_sendShutdown = false;
   /** A send has failed, so that the peer has reset the connection. */
   bool m_sendFailed = false;
--- a/test/sapphirehook/net/tcp_stream.cpp
+++ b/test/sapphirehook/net/tcp_stream.cpp
@@ -21,7 +21,8 @@
 class Fixture
 {
 public:
-  Fixture()
+  /** The peer may pause for aPatience in all. */
+  explicit Fixture(Millis aPatience = Millis(0))
   {
     const sockaddr_in address = support::FreeAddress();
     TcpListener listener(m_loop, [&](int aSocket) {
@@ -44,7 +45,7 @@
     REQUIRE(support::RunUntil(
       m_loop, [&] { return m_stream != nullptr; }, Millis(1000)));
     m_stream->Write(std::string(kAnswerBytes, 'x'));
-    m_stream->CloseAfterWrite();
+    m_stream->CloseAfterWrite(BootClock::now() + aPatience);
   }
   Fixture(const Fixture&) = delete;
   Fixture& operator=(const Fixture&) = delete;
@@ -81,13 +82,60 @@
   CHECK(received == kAnswerBytes);
 }
 
+// Guards against answers that were cut in a planned stop when their callers
+// paused for more than 1 s (review/14).
+TEST_CASE(
+  "a closing connection waits for a peer that pauses until the deadline",
+  "[net]")
+{
+  Fixture fixture(Millis(6000));
+  std::size_t received = 0;
+  const auto read = [&](std::size_t aUntil) {
+    for (int i = 0; i < 400 && received < aUntil; ++i) {
+      received += fixture.Read(20'000);
+      support::RunFor(fixture.m_loop, Millis(2));
+    }
+  };
+  read(kAnswerBytes / 4);
+  REQUIRE(received < kAnswerBytes);
+  support::RunFor(fixture.m_loop, Millis(2300));
+  CHECK_FALSE(fixture.m_ended);
+  read(kAnswerBytes);
+  CHECK(received == kAnswerBytes);
+}
+
 TEST_CASE("a closing connection ends when its peer reads nothing", "[net]")
 {
-  Fixture fixture;
+  const auto patience = GENERATE(Millis(0), Millis(2500));
+  Fixture fixture(patience);
+  support::RunFor(fixture.m_loop, patience);
+  CHECK_FALSE(fixture.m_ended);
   CHECK(support::RunUntil(
     fixture.m_loop, [&] { return fixture.m_ended; }, Millis(3000)));
 }
 
+// A reset would discard the answer that the peer has not read yet.
+TEST_CASE("a closing connection stays open while its peer sends the rest of a "
+          "request",
+          "[net]")
+{
+  Fixture fixture(Millis(6000));
+  std::size_t received = 0;
+  for (int i = 0; i < 400 && received < kAnswerBytes; ++i) {
+    received += fixture.Read(20'000);
+    support::RunFor(fixture.m_loop, Millis(2));
+  }
+  for (int i = 0; i < 60; ++i) {
+    static_cast<void>(send(fixture.m_peer, "x", 1, MSG_NOSIGNAL));
+    support::RunFor(fixture.m_loop, Millis(40));
+  }
+  CHECK(received == kAnswerBytes);
+  CHECK_FALSE(fixture.m_ended);
+  shutdown(fixture.m_peer, SHUT_WR);
+  CHECK(support::RunUntil(
+    fixture.m_loop, [&] { return fixture.m_ended; }, Millis(500)));
+}
+
 // Guards against an answer without a length that is cut by a reset and passed
 // on as complete: a send during the answer takes the error from the socket.
 TEST_CASE("a reset that a send has met first does not look like a close",
