--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -148,8 +148,8 @@
 CallerConnection::IsBusy() const noexcept
 {
   return !m_closed && (m_finishing || !m_answers.IsEmpty() || m_headWaits ||
-                       m_stream.Unsent() > 0 ||
-                       (m_parser.IsInMessage() && !m_parser.IsHeadComplete()));
+                       (m_parser.IsInMessage() && !m_parser.IsHeadComplete()) ||
+                       m_stream.Undelivered() > 0);
 }
 
 void
@@ -366,7 +366,7 @@
   if (!m_readsNothing && m_parser.IsInMessage() && !m_parser.IsHeadComplete()) {
     Refuse(kTimeout, "request head took too long");
   } else if (!IsBusy()) {
-    Close();
+    CloseIdle();
   } else {
     RestartIdleTimer();
   }
@@ -486,6 +486,15 @@
   }
 }
 
+void
+CallerConnection::CloseIdle()
+{
+  m_finishing = true;
+  m_readsNothing = true;
+  m_timer.Stop();
+  m_stream.CloseAfterWrite({}, LateBytes::LeftUnread);
+}
+
 void
 CallerConnection::Close()
 {
--- a/src/sapphirehook/gateway/caller_connection.hpp
+++ b/src/sapphirehook/gateway/caller_connection.hpp
@@ -83,18 +83,17 @@
   /** Makes the connection close after the requests that are in progress. */
   void BeginStop() { m_answers.BeginStop(); }
 
-  /** Closes the connection if no request is in progress. */
+  /** Begins to close the connection if no request is in progress. */
   void CloseIfIdle()
   {
     if (!IsBusy() && m_backlog.empty()) {
-      Close();
+      CloseIdle();
     }
   }
 
-  /** Returns whether a request has been read, at least in part, and its answer
-      has not been sent completely. A connection that is closing is busy until
-      its caller has closed it too: a reset would discard answers that are on
-      their way. */
+  /** Returns whether a request has been read, at least in part, and its caller
+      has not acknowledged the whole answer. A connection that is closing is
+     busy until its caller has closed it too. */
   [[nodiscard]] bool IsBusy() const noexcept;
 
 private:
@@ -137,6 +136,9 @@
   void RestartIdleTimer();
   void Disconnect(Exchange& aExchange);
   void DisconnectAll();
+  /** Closes a connection on which nothing is in progress. A request that
+     crosses this is left unread, so that the caller can send it again. */
+  void CloseIdle();
   void Close();
 
   EventLoop& m_loop;
--- a/src/sapphirehook/gateway/request_engine.hpp
+++ b/src/sapphirehook/gateway/request_engine.hpp
@@ -179,7 +179,8 @@
   void CloseIdleCallers();
 
   /** Returns the number of caller connections with a request that is in
-      progress, or with an answer that has not been sent completely. */
+      progress or an answer that its caller has not acknowledged completely, or
+      that are closing. */
   [[nodiscard]] std::size_t Unanswered() const;
 
   /** Returns the bytes of answers that wait behind others. */
--- a/src/sapphirehook/net/tcp_stream.cpp
+++ b/src/sapphirehook/net/tcp_stream.cpp
@@ -141,7 +141,7 @@
     return;
   }
   m_watcher.Watch(m_socket,
-                  (m_reading || m_closing ? EV_READ : 0) |
+                  ((m_reading || m_closing) && !m_hasUnread ? EV_READ : 0) |
                     (Unsent() > 0 ? EV_WRITE : 0));
 }
 
@@ -168,14 +168,15 @@
 }
 
 void
-TcpStream::CloseAfterWrite(TimePoint aDeliverBy)
+TcpStream::CloseAfterWrite(TimePoint aDeliverBy, LateBytes aLateBytes)
 {
   if (m_socket < 0 || m_closing) {
     return;
   }
   m_closing = true;
   m_deliverBy = aDeliverBy;
-  m_lingering = Unacknowledged();
+  m_lateBytes = aLateBytes;
+  m_lingering = Undelivered();
   m_timer.Start(kLingerTimeout);
   if (Unsent() == 0) {
     shutdown(m_socket, SHUT_WR);
@@ -185,8 +186,11 @@
 }
 
 std::size_t
-TcpStream::Unacknowledged() const
+TcpStream::Undelivered() const noexcept
 {
+  if (m_socket < 0) {
+    return 0;
+  }
   int queued = 0;
   const bool known = ioctl(m_socket, SIOCOUTQ, &queued) == 0 && queued > 0;
   return Unsent() + (known ? static_cast<std::size_t>(queued) : 0);
@@ -201,7 +205,7 @@
   }
   // A peer on a slow link may need longer for an answer. One that still sends
   // would meet a reset, which discards what it has not read yet.
-  const auto left = Unacknowledged();
+  const auto left = Undelivered();
   const bool mayPause = BootClock::now() < m_deliverBy;
   const bool isDelivering = left < std::exchange(m_lingering, left);
   const bool isReceiving = std::exchange(m_hasReceived, false) && mayPause;
@@ -307,7 +311,14 @@
 TcpStream::OnReadable()
 {
   auto& buffer = ReadBuffer();
-  const auto count = recv(m_socket, buffer.data(), buffer.size(), 0);
+  const bool leavesUnread = m_closing && m_lateBytes == LateBytes::LeftUnread;
+  const auto count =
+    recv(m_socket, buffer.data(), buffer.size(), leavesUnread ? MSG_PEEK : 0);
+  if (count > 0 && leavesUnread) {
+    m_hasUnread = true;
+    Watch();
+    return;
+  }
   if (count > 0) {
     m_hasReceived = true;
     if (!m_closing && m_events.m_onData) {
--- a/src/sapphirehook/net/tcp_stream.hpp
+++ b/src/sapphirehook/net/tcp_stream.hpp
@@ -26,6 +26,15 @@
   Reset,
 };
 
+/** What a closing connection does with bytes that its peer still sends. */
+enum class LateBytes : unsigned char
+{
+  /** They are received and discarded. */
+  Discarded,
+  /** They are not received, so that a request among them counts as not read. */
+  LeftUnread,
+};
+
 /** Callbacks of a connection. */
 struct StreamEvents
 {
@@ -74,11 +83,13 @@
       discarded. */
   void Reset();
 
-  /** Sends the written bytes, shuts down the sending side and discards received
-      bytes until the peer closes. A peer that has not acknowledged everything
-      may pause until aDeliverBy; after that, and once it has, the connection
-      ends when nothing arrives at either side for the linger timeout. */
-  void CloseAfterWrite(TimePoint aDeliverBy = {});
+  /** Sends the written bytes, shuts down the sending side and waits until the
+      peer closes: a reset would discard what it has not read yet. A peer that
+     has not acknowledged everything may pause until aDeliverBy; after that, and
+     once it has, the connection ends when nothing arrives at either side for
+     the linger timeout. */
+  void CloseAfterWrite(TimePoint aDeliverBy = {},
+                       LateBytes aLateBytes = LateBytes::Discarded);
 
   [[nodiscard]] bool IsOpen() const noexcept { return m_socket >= 0; }
   [[nodiscard]] bool IsConnected() const noexcept { return m_connected; }
@@ -86,6 +97,8 @@
   {
     return m_sendBuffer.size() - m_sent;
   }
+  /** Returns the number of written bytes that the peer has not acknowledged. */
+  [[nodiscard]] std::size_t Undelivered() const noexcept;
 
 private:
   void OnEvents(int aEvents);
@@ -97,8 +110,6 @@
   void Watch();
   void End(StreamEnd aEnd);
   void OnTimeout();
-  /** Returns the number of written bytes that the peer has not acknowledged. */
-  [[nodiscard]] std::size_t Unacknowledged() const;
   void Configure(Millis aAcknowledgeTimeout) const;
 
   EventLoop& m_loop;
@@ -112,6 +123,9 @@
   bool m_connected = false;
   bool m_reading = true;
   bool m_closing = false;
+  LateBytes m_lateBytes = LateBytes::Discarded;
+  /** Bytes have arrived that are left unread. */
+  bool m_hasUnread = false;
   /** While closing: until when the peer may pause. */
   TimePoint m_deliverBy{};
   /** Unacknowledged bytes when the linger timeout began, and whether bytes have
--- a/test/sapphirehook/gateway/pipelined_requests.cpp
+++ b/test/sapphirehook/gateway/pipelined_requests.cpp
@@ -1,5 +1,10 @@
 #include "engine_fixture.hpp"
 
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace sapphirehook;
 using namespace sapphirehook::engine_fixture;
 
@@ -386,6 +391,78 @@
   CHECK(fixture.m_received.size() > fixture.Arrived() * body.size());
 }
 
+// Guards against answers that a planned stop cut (review/15): the connection
+// was closed while the kernel still sent the answer, and the reset for the
+// caller's next request discarded the rest.
+TEST_CASE("a stopping daemon closes no connection whose answer is on its way",
+          "[gateway][pipeline]")
+{
+  constexpr int kBufferBytes = 16'384;
+  constexpr int kSegmentBytes = 1'460;
+  Fixture fixture;
+  fixture.List("plain");
+  const std::string body(300'000, 'x');
+  fixture.SetScript([&](auto& aConnection, auto& aHead) {
+    ScriptedEndpoint::Reply(aConnection, aHead, "200 OK", "", body);
+  });
+  const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, IPPROTO_TCP);
+  setsockopt(
+    caller, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof kSegmentBytes);
+  setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &kBufferBytes, sizeof kBufferBytes);
+  REQUIRE(connect(caller,
+                  reinterpret_cast<const sockaddr*>(&fixture.m_address),
+                  sizeof fixture.m_address) == 0);
+  fcntl(caller, F_SETFL, O_NONBLOCK);
+  const auto send = [&](const std::string& aRequest) {
+    REQUIRE(::send(caller, aRequest.data(), aRequest.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(aRequest.size()));
+  };
+  std::string received;
+  bool isOpen = true;
+  const auto read = [&](std::size_t aMost) {
+    std::string piece(aMost, '\0');
+    const auto count = recv(caller, piece.data(), piece.size(), 0);
+    received.append(piece, 0, count > 0 ? static_cast<std::size_t>(count) : 0);
+    isOpen = count > 0 || (count < 0 && errno == EAGAIN);
+  };
+  send(Request("/safe/x", "first"));
+  while (isOpen && received.size() < body.size() / 2) {
+    read(20'000);
+    support::RunFor(fixture.m_loop, Millis(2));
+  }
+  fixture.BeginStop(Millis(0));
+  fixture.m_engine.CloseIdleCallers();
+  CHECK(fixture.m_engine.Unanswered() == 1);
+  support::RunFor(fixture.m_loop, Millis(20));
+  send(Request("/safe/x", "further"));
+  for (int i = 0; isOpen && i < 300; ++i) {
+    fixture.m_engine.CloseIdleCallers();
+    support::RunFor(fixture.m_loop, Millis(2));
+    read(10'000);
+  }
+  CHECK(received.size() > body.size());
+  close(caller);
+  CHECK(fixture.Until([&] { return fixture.m_engine.Unanswered() == 0; }));
+}
+
+// A caller may send a request just as its idle connection is closed. It sends
+// the request again only if nobody has read it.
+TEST_CASE("a request that crosses the close of an idle connection is not read",
+          "[gateway][pipeline]")
+{
+  Fixture fixture;
+  fixture.List("plain");
+  CHECK(Fixture::HasStatus(fixture.Ask("/once/x", "a"), 200));
+  fixture.BeginStop();
+  fixture.m_engine.CloseIdleCallers();
+  fixture.m_received.clear();
+  fixture.m_caller->Write(Request("/once/x", "crossing"));
+  CHECK(fixture.Until([&] { return fixture.m_callerEnded; }));
+  CHECK(fixture.m_received.empty());
+  CHECK(fixture.Until([&] { return fixture.m_engine.Unanswered() == 0; }));
+  CHECK(fixture.Arrived() == 1);
+}
+
 TEST_CASE("an answer to a caller that reads slowly is paused, not collected",
           "[gateway][pipeline]")
 {
