EndpointCommands: no polling while a connection is not identified

A new leader of a large fleet has to identify hundreds of endpoints at once. Each polled every 50 ms and dropped its grants every 350 ms, so that the leader sent all of them again. Grants wait for up to a second now; the answer to the health check, the next grant or the end of the wait checks again.

--- a/src/sapphirehook/gateway/endpoint_commands.cpp
+++ b/src/sapphirehook/gateway/endpoint_commands.cpp
@@ -27,14 +27,14 @@
     often whether it is established. */
 constexpr Millis kSpareWait{ 40 };
 constexpr Millis kSparePoll{ 2 };
-/** Queued grants wait at most this long until a connection is identified, and
-    check this often whether it is. */
-constexpr Millis kIdentityWait{ 350 };
-constexpr Millis kIdentityPoll{ 50 };
+/** Queued grants wait at most this long until a connection is identified. A new
+    leader may have to identify hundreds of endpoints at once, and repeats the
+    grants that are dropped. */
+constexpr Millis kIdentityWait{ 1000 };
 /** A health check waits for a slot of the endpoint. */
 constexpr Millis kIdentifyTimeout{ 1000 };
 /** Shortest time between the starts of two health checks of an endpoint. */
-constexpr Millis kIdentifyInterval{ 300 };
+constexpr Millis kIdentifyInterval{ 500 };
 
 } // namespace
 
@@ -156,11 +156,12 @@
   if (!m_identityAwaitedSince) {
     m_identityAwaitedSince = now;
   }
-  if (now >= *m_identityAwaitedSince + kIdentityWait) {
+  const TimePoint until = *m_identityAwaitedSince + kIdentityWait;
+  if (now >= until) {
     m_identityAwaitedSince.reset();
     DropQueue();
   } else {
-    m_identityTimer.Start(kIdentityPoll);
+    m_identityTimer.Start(until - now);
   }
   return true;
 }
