--- a/test/sapphirehook/keys/range_manager.cpp
+++ b/test/sapphirehook/keys/range_manager.cpp
@@ -318,8 +318,9 @@
   CHECK(holderOf(key) == "e1");
 }
 
-// Guards against two holders (review/12): an endpoint had taken its keys, but the
-// status of its answers was spoiled. They moved without a release or a wait.
+// Guards against two holders (review/12): an endpoint had taken its keys, but
+// the status of its answers was spoiled. They moved without a release or a
+// wait.
 TEST_CASE("a range moves by release or after its lease whatever the status of "
           "the answer to its grant is",
           "[keys]")
