--- a/src/sapphirehook/gateway/caller_connection.cpp
+++ b/src/sapphirehook/gateway/caller_connection.cpp
@@ -352,26 +352,6 @@
          tooLarge ? "request head too large" : "malformed request");
 }
 
-void
-CallerConnection::OnEnd()
-{
-  const auto self = shared_from_this();
-  Close();
-}
-
-void
-CallerConnection::OnTimer()
-{
-  const auto self = shared_from_this();
-  if (!m_readsNothing && m_parser.IsInMessage() && !m_parser.IsHeadComplete()) {
-    Refuse(kTimeout, "request head took too long");
-  } else if (!IsBusy()) {
-    CloseIdle();
-  } else {
-    RestartIdleTimer();
-  }
-}
-
 void
 CallerConnection::Refuse(int aStatus, std::string_view aReason)
 {
@@ -461,14 +441,6 @@
   }
 }
 
-void
-CallerConnection::RestartIdleTimer()
-{
-  if (m_answers.IsEmpty() && !m_parser.IsInMessage() && !m_finishing) {
-    m_timer.Start(m_events.Limits().m_idleTimeout);
-  }
-}
-
 void
 CallerConnection::Disconnect(Exchange& aExchange)
 {
@@ -486,27 +458,4 @@
   }
 }
 
-void
-CallerConnection::CloseIdle()
-{
-  m_finishing = true;
-  m_readsNothing = true;
-  m_timer.Stop();
-  m_stream.CloseAfterWrite({}, LateBytes::LeftUnread);
-}
-
-void
-CallerConnection::Close()
-{
-  if (m_closed) {
-    return;
-  }
-  m_closed = true;
-  m_readsNothing = true;
-  m_timer.Stop();
-  DisconnectAll();
-  m_stream.Close();
-  m_events.OnClosed(*this);
-}
-
 } // namespace sapphirehook
